--- /dev/null
+++ b/internal/link/api.go
@@ -0,0 +1,52 @@
+// Package link connects rosedrift processes by WebSocket connections that carry batches of CBOR envelopes.
+//
+// Urgent envelopes are written at once and before waiting ones; the others collect for up to BatchDelay or
+// BatchBytes. Both directions pass through bounded queues; one goroutine reads and one writes.
+package link
+
+import (
+	"time"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Batching and bounds of a link.
+const (
+	BatchDelay = time.Millisecond
+	BatchBytes = 32 << 10
+	// MaxMessageBytes bounds one received WebSocket message.
+	MaxMessageBytes = 64 << 20
+	// QueueLength bounds the envelopes that wait for writing, per class.
+	QueueLength = 65_536
+	// WriteTimeout closes a link whose peer does not read.
+	WriteTimeout = 3 * time.Second
+)
+
+// Class orders envelopes in the writer.
+type Class uint8
+
+// The classes: control (heartbeats, fences, configuration), urgent tasks, bulk.
+const (
+	Control Class = iota
+	Urgent
+	Bulk
+	classes = 3
+)
+
+// Handler receives the envelopes of a link in order, in the link's reading goroutine. Closed is called once, last.
+type Handler interface {
+	Receive(l *Link, envelopes []structs.Envelope)
+	Closed(l *Link, err error)
+}
+
+// Functions and methods, implemented in link.go:
+//
+//	Dial(ctx context.Context, url string, options Options, handler Handler) (*Link, error)
+//	Accept(w http.ResponseWriter, r *http.Request, options Options, handler Handler) (*Link, error) // returns after the upgrade; l.Done() closes at the end
+//	(l *Link) Send(class Class, typ structs.MessageType, message any) error   // *Error of KindFull when the queue is full, KindClosed
+//	(l *Link) Close(reason string)
+//	(l *Link) Done() <-chan struct{}
+//	(l *Link) RemoteAddr() string
+//	(l *Link) Stats() Stats             // messages and bytes in and out
+//	Decode(e structs.Envelope, into any) error
+//	Options: TLS *tls.Config, Header http.Header, Fault hook for tests (drop/delay), Logger
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,4 @@
+package link
+
+// Link is one connection between two rosedrift processes.
+type Link struct{}
--- /dev/null
+++ b/internal/ownership/api.go
@@ -0,0 +1,208 @@
+// Package ownership decides which pools a gateway owns, under which epoch and in which mode. It keeps two gateways
+// from starting tasks of one pool at the same time while the store, gateways and agents fail.
+//
+// The package is a deterministic state machine: Step takes an input and a monotonic time and returns actions. One
+// Machine serves all pools of a gateway.
+package ownership
+
+import (
+	"time"
+
+	"rosedrift.example/rosedrift/internal/dispatch"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Timing of the store lease.
+const (
+	// LeaseTTL is the time to live of the gateway lease in the store.
+	LeaseTTL = 2500 * time.Millisecond
+	// LeaseRenewal is the interval of its renewals.
+	LeaseRenewal = 500 * time.Millisecond
+	// LeaseValid is how long the gateway relies on a renewal, counted from its sending.
+	LeaseValid = 2 * time.Second
+	// CollectWait is how long a takeover waits for the rest of the roster after the majority.
+	CollectWait = 2 * time.Second
+	// DetachedLimit ends detached operation after the last contact with the store.
+	DetachedLimit = 15 * time.Minute
+	// TakeoverWithoutMajority is how long the old owner's lease must have been gone, as watched by the new owner,
+	// before a takeover goes on without a majority.
+	TakeoverWithoutMajority = DetachedLimit + LeaseValid
+)
+
+// Record is the pool record in the store, encoded as JSON at the key pools/<service>/<index>.
+type Record struct {
+	Pool   structs.PoolID     `json:"pool"`
+	Epoch  structs.Epoch      `json:"epoch"`
+	Owner  structs.GatewayRef `json:"owner"`
+	Roster []structs.AgentRef `json:"roster"`
+	// Successor is set by a planned handover: the new owner has the old one's snapshot.
+	Handover bool `json:"handover,omitempty"`
+}
+
+// Input is an event for the machine.
+type Input interface{ input() }
+
+// Tick lets time pass, at least every 50 ms.
+type Tick struct{}
+
+// LeaseRenewed reports a successful renewal that was sent at SentAt.
+type LeaseRenewed struct{ SentAt time.Duration }
+
+// LeaseExpired reports that the store no longer knows the lease: another gateway may own the pools by now.
+type LeaseExpired struct{}
+
+// Members reports the gateways with a live lease in the store, as of the watch.
+type Members struct{ Live []structs.GatewayRef }
+
+// ObservedRecord reports a pool record read from the store with its version.
+type ObservedRecord struct {
+	Record  Record
+	Version uint64
+}
+
+// PoolConfigured reports a pool of a service of the configuration.
+type PoolConfigured struct{ Pool structs.PoolID }
+
+// PutResult answers PutRecord. With a lost answer the shell reads the record back before it reports.
+type PutResult struct {
+	Record  Record
+	OK      bool
+	Version uint64
+}
+
+// AgentSeen reports an agent incarnation linked to this gateway.
+type AgentSeen struct {
+	Pool  structs.PoolID
+	Agent structs.AgentRef
+}
+
+// AgentLost reports an agent silent for LostAfter or replaced by a new incarnation.
+type AgentLost struct {
+	Pool  structs.PoolID
+	Agent structs.AgentRef
+}
+
+// AgentAck reports the acknowledgement of a heartbeat that was sent with Epoch at SentAt.
+type AgentAck struct {
+	Pool   structs.PoolID
+	Agent  structs.AgentRef
+	Epoch  structs.Epoch
+	SentAt time.Duration
+}
+
+// FenceReplied reports the answer of an agent to a fence.
+type FenceReplied struct {
+	Agent structs.AgentRef
+	Reply structs.FenceReply
+}
+
+// JournalRead reports the journal entries of a pool, read after the acquisition of the epoch.
+type JournalRead struct {
+	Pool    structs.PoolID
+	Epoch   structs.Epoch
+	Entries []dispatch.JournalEntry
+}
+
+// BacklogWritten reports that every key admitted while detached is now in the journal.
+type BacklogWritten struct{ Pool structs.PoolID }
+
+// GatewayGone is an operator's statement that a gateway will never run again.
+type GatewayGone struct{ Gateway structs.GatewayID }
+
+// Release starts a planned handover of a pool to a successor that has accepted the snapshot.
+type Release struct {
+	Pool      structs.PoolID
+	Successor structs.GatewayRef
+}
+
+func (Tick) input()           {}
+func (LeaseRenewed) input()   {}
+func (LeaseExpired) input()   {}
+func (Members) input()        {}
+func (ObservedRecord) input() {}
+func (PoolConfigured) input() {}
+func (PutResult) input()      {}
+func (AgentSeen) input()      {}
+func (AgentLost) input()      {}
+func (AgentAck) input()       {}
+func (FenceReplied) input()   {}
+func (JournalRead) input()    {}
+func (BacklogWritten) input() {}
+func (GatewayGone) input()    {}
+func (Release) input()        {}
+
+// Action is an order to the shell.
+type Action interface{ action() }
+
+// PutRecord writes a pool record if its version is Expect. Acquisitions, roster changes and handovers use it; at
+// most one write per pool is in flight.
+type PutRecord struct {
+	Record Record
+	Expect uint64
+}
+
+// SendFence asks an agent to promise the epoch. The machine repeats it every 200 ms until the answer.
+type SendFence struct {
+	Agent structs.AgentRef
+	Fence structs.Fence
+}
+
+// ReadJournal asks for the journal of all epochs of the pool.
+type ReadJournal struct {
+	Pool  structs.PoolID
+	Epoch structs.Epoch
+}
+
+// Acquired reports that the gateway owns the pool under the epoch and that recovery begins.
+type Acquired struct {
+	Pool  structs.PoolID
+	Epoch structs.Epoch
+	// Handover is true if the previous owner handed its snapshot over.
+	Handover bool
+}
+
+// Adopted ends the recovery: the shell passes Adopt (or, after a handover, Restore) to the pool.
+type Adopted struct {
+	Pool  structs.PoolID
+	Epoch structs.Epoch
+	Adopt dispatch.Adopt
+}
+
+// ModeChanged reports the right to start tasks.
+type ModeChanged struct {
+	Pool  structs.PoolID
+	Epoch structs.Epoch
+	Mode  dispatch.Mode
+}
+
+// EligibleChanged reports whether an agent is in the stored roster and has promised the epoch.
+type EligibleChanged struct {
+	Pool     structs.PoolID
+	Agent    structs.AgentRef
+	Eligible bool
+}
+
+// Lost reports that the gateway does not own the pool any more. The shell answers the pool's waiters with
+// CodeOwnerLost, so that entry gateways forward to the new owner.
+type Lost struct {
+	Pool  structs.PoolID
+	Epoch structs.Epoch
+}
+
+func (PutRecord) action()       {}
+func (SendFence) action()       {}
+func (ReadJournal) action()     {}
+func (Acquired) action()        {}
+func (Adopted) action()         {}
+func (ModeChanged) action()     {}
+func (EligibleChanged) action() {}
+func (Lost) action()            {}
+
+// Methods of Machine, implemented in machine.go:
+//
+//	New(now time.Duration, self structs.GatewayRef) *Machine
+//	(m *Machine) Step(now time.Duration, in Input) []Action
+//	(m *Machine) Mode(pool structs.PoolID, now time.Duration) (structs.Epoch, dispatch.Mode, bool)
+//	(m *Machine) Owner(pool structs.PoolID) (structs.GatewayRef, structs.Epoch, bool)
+//	(m *Machine) DetachedFlag(pool structs.PoolID) bool   // the flag for GatewayHeartbeat
+//	(m *Machine) HasMajority(pool structs.PoolID, now time.Duration) bool
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,100 @@
+// Package store defines access to the platform's key-value service, which offers compare-and-swap, leases and
+// watches, and implements it over HTTP.
+package store
+
+import (
+	"context"
+	"time"
+)
+
+// LeaseID names a lease of the store. 0 means no lease.
+type LeaseID uint64
+
+// Entry is one stored value.
+type Entry struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+	// Version grows with every write of the key. A key that does not exist has version 0.
+	Version uint64 `json:"version"`
+	// Revision is the store-wide number of the write.
+	Revision uint64  `json:"revision"`
+	Lease    LeaseID `json:"lease,omitempty"`
+}
+
+// Event reports a write or, with Deleted, a removal (by a client or by the end of a lease).
+type Event struct {
+	Entry
+	Deleted bool `json:"deleted,omitempty"`
+}
+
+// AnyVersion disables the comparison of Put and Delete.
+const AnyVersion = ^uint64(0)
+
+// MaxValueBytes is the largest value that the platform's store accepts.
+const MaxValueBytes = 1 << 20
+
+// Store is the platform's key-value service. Every method is one call against its budget; a waiting Watch counts
+// as one call. All errors are of type *Error. After an error with Unknown set a write may have taken effect.
+type Store interface {
+	// Get returns the entry, or an error of KindNotFound.
+	Get(ctx context.Context, key string) (Entry, error)
+	// List returns up to limit entries with the prefix in key order, after the key after, and the store's
+	// revision at the time of reading.
+	List(ctx context.Context, prefix, after string, limit int) ([]Entry, uint64, error)
+	// Put writes the value if the key's version is expect and returns the new version. A mismatch is an error of
+	// KindConflict.
+	Put(ctx context.Context, key string, value []byte, expect uint64, lease LeaseID) (uint64, error)
+	// Delete removes the key if its version is expect.
+	Delete(ctx context.Context, key string, expect uint64) error
+	// GrantLease creates a lease. Keys written under it are deleted when it ends.
+	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive renews the lease for its TTL, counted from the store's receipt of the call. An ended lease is an
+	// error of KindNotFound.
+	KeepAlive(ctx context.Context, lease LeaseID) error
+	// Revoke ends the lease and deletes its keys.
+	Revoke(ctx context.Context, lease LeaseID) error
+	// Watch waits up to wait for events with the prefix and a revision above after. It returns the events and the
+	// revision to continue from. KindCompacted means that events were lost and the caller must List again.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
+}
+
+// Kind classifies the errors of the store.
+type Kind uint8
+
+// The kinds of error.
+const (
+	KindUnavailable Kind = iota + 1
+	KindNotFound
+	KindConflict
+	KindCompacted
+	KindTooLarge
+	KindInvalid
+)
+
+// Error is an error of the store layer.
+type Error struct {
+	Op  string
+	Key string
+	// Kind is the class of the error.
+	Kind Kind
+	// Unknown is true if a write may have taken effect although it was not confirmed.
+	Unknown bool
+	Err     error
+}
+
+var kindNames = map[Kind]string{
+	KindUnavailable: "unavailable", KindNotFound: "not found", KindConflict: "version conflict",
+	KindCompacted: "events compacted", KindTooLarge: "value too large", KindInvalid: "invalid request",
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	text := "store: " + e.Op + " " + e.Key + ": " + kindNames[e.Kind]
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/structs/problem.go
@@ -0,0 +1,54 @@
+package structs
+
+import "time"
+
+// Code is the stable, machine-readable code of a problem.
+type Code string
+
+// The codes of the caller and admin interfaces.
+const (
+	CodeBadRequest      Code = "bad_request"
+	CodeUnauthorized    Code = "unauthorized"
+	CodeForbidden       Code = "forbidden"
+	CodeNotFound        Code = "not_found"
+	CodeUnknownService  Code = "unknown_service"
+	CodeTooLarge        Code = "too_large"
+	CodeKeyRequired     Code = "key_required"
+	CodeKeyReused       Code = "key_reused"
+	CodeTicketExpired   Code = "ticket_expired"
+	CodeInDoubt         Code = "in_doubt"
+	CodeQuotaExceeded   Code = "quota_exceeded"
+	CodeOverloaded      Code = "overloaded"
+	CodeUnavailable     Code = "unavailable"
+	CodeStopping        Code = "stopping"
+	CodeNoServer        Code = "no_server"
+	CodeDeadline        Code = "deadline_exceeded"
+	CodeCancelled       Code = "cancelled"
+	CodeTaskFailed      Code = "task_failed"
+	CodeServerLost      Code = "server_lost"
+	CodeOwnerLost       Code = "owner_lost"
+	CodeConflict        Code = "conflict"
+	CodeNoMajority      Code = "no_majority"
+	CodeStoreDown       Code = "store_unavailable"
+	CodeInvalidConfig   Code = "invalid_configuration"
+	CodeInternal        Code = "internal"
+	CodeTooManyRequests Code = "too_many_requests"
+)
+
+// Problem is an error of the caller or admin interface. On HTTP it is a problem detail (RFC 9457).
+type Problem struct {
+	_       struct{} `cbor:",toarray"`
+	Code    Code
+	Outcome Outcome
+	// Status is the HTTP status code.
+	Status int
+	// Detail is one sentence for people.
+	Detail string
+	// RetryAfter is the earliest useful time of a retry, 0 if none is advised.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (p *Problem) Error() string {
+	return string(p.Code) + " (" + p.Outcome.String() + "): " + p.Detail
+}
