--- a/internal/structs/ids.go
+++ b/internal/structs/ids.go
@@ -73,11 +73,8 @@
 // HashKey returns the hash of an idempotency key in the scope of a team. The hash is cryptographic so that one
 // caller cannot construct a collision with the key of another.
 func HashKey(team, key string) KeyHash {
-	h := sha256.New()
-	fmt.Fprintf(h, "%d:%s%s", len(team), team, key)
-	var k KeyHash
-	copy(k[:], h.Sum(nil))
-	return k
+	sum := sha256.Sum256([]byte(strconv.Itoa(len(team)) + ":" + team + key))
+	return KeyHash(sum[:KeySize])
 }
 
 // PoolOfKey returns the pool that a key belongs to. The mapping is fixed as long as the number of pools is.
--- a/internal/structs/ids_test.go
+++ b/internal/structs/ids_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "rosedrift.example/rosedrift/internal/testseed"
 )
 
 // TestJobIDRoundTrip guards against ids that another gateway cannot parse back to the owner's pool.
