--- a/internal/link/api.go
+++ b/internal/link/api.go
@@ -18,6 +18,8 @@
 	MaxMessageBytes = 64 << 20
 	// QueueLength bounds the envelopes that wait for writing, per class.
 	QueueLength = 65_536
+	// QueueBytes bounds the encoded bytes that wait for writing, per class.
+	QueueBytes = 64 << 20
 	// WriteTimeout closes a link whose peer does not read.
 	WriteTimeout = 3 * time.Second
 )
@@ -38,15 +40,3 @@
 	Receive(l *Link, envelopes []structs.Envelope)
 	Closed(l *Link, err error)
 }
-
-// Functions and methods, implemented in link.go:
-//
-//	Dial(ctx context.Context, url string, options Options, handler Handler) (*Link, error)
-//	Accept(w http.ResponseWriter, r *http.Request, options Options, handler Handler) (*Link, error) // returns after the upgrade; l.Done() closes at the end
-//	(l *Link) Send(class Class, typ structs.MessageType, message any) error   // *Error of KindFull when the queue is full, KindClosed
-//	(l *Link) Close(reason string)
-//	(l *Link) Done() <-chan struct{}
-//	(l *Link) RemoteAddr() string
-//	(l *Link) Stats() Stats             // messages and bytes in and out
-//	Decode(e structs.Envelope, into any) error
-//	Options: TLS *tls.Config, Header http.Header, Fault hook for tests (drop/delay), Logger
