--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,39 @@
+package settings
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestParseReportsAllFaults guards against settings that have to be corrected one restart at a time.
+func TestParseReportsAllFaults(t *testing.T) {
+	var g Gateway
+	var out bytes.Buffer
+	err := Parse("rosedrift-gateway", []string{"--zone", "Über", "--listen", "nowhere", "--store", "ftp://x",
+		"--drain-timeout", "never", "--held-bytes", "1", "--log-level", "loud"}, &out, &g)
+	var faults Faults
+	require.ErrorAs(t, err, &faults)
+	var fields []string
+	for _, f := range faults {
+		fields = append(fields, f.Field)
+	}
+	require.Equal(t, []string{"--log-level", "--name", "--zone", "--listen", "--store", "--drain-timeout",
+		"--held-bytes", "--keys-file"}, fields)
+	require.Contains(t, err.Error(), "1048576 to 68719476736 bytes")
+}
+
+// TestPrintMasksSecrets guards against keys in terminals and logs.
+func TestPrintMasksSecrets(t *testing.T) {
+	t.Setenv("ROSEDRIFT_CLUSTER_KEY", "s3cret")
+	var g Gateway
+	var out bytes.Buffer
+	err := Parse("rosedrift-gateway", []string{"--name", "g1", "--zone", "a", "--store", "http://127.0.0.1:1",
+		"--print-settings"}, &out, &g)
+	require.ErrorIs(t, err, ErrDone)
+	require.Equal(t, "s3cret", g.ClusterKey)
+	require.NotContains(t, out.String(), "s3cret")
+	require.Contains(t, out.String(), "ROSEDRIFT_CLUSTER_KEY=********")
+	require.Contains(t, out.String(), "ROSEDRIFT_DRAIN_TIMEOUT=1m0s")
+}
