Add the echo of agents' heartbeats to the gateways' heartbeats

Cause: an agent that wakes from a pause, or whose connection was cut for a while, receives heartbeats that waited in a socket. By the time of receipt they look fresh, and the agent could start a task in a zone that went out meanwhile.

AgentHeartbeat has a sequence number and GatewayHeartbeat repeats the highest one received on the link. Freshness counts from the sending of the heartbeat that was answered, on the agent's own monotonic clock.

Ruled out: closing links after a pause, which does not cover messages held up by the network.

--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -67,7 +67,10 @@
 	_        struct{} `cbor:",toarray"`
 	Revision Revision
 	Promised Epoch
-	// EchoSeq is the highest GatewayHeartbeat.Seq received on this link.
+	// Seq numbers the agent's heartbeats on this link from 1.
+	Seq uint64
+	// EchoSeq is the highest GatewayHeartbeat.Seq received on this link, not counting those of an owner whose epoch
+	// is below the agent's promise.
 	EchoSeq uint64
 	Leaving bool
 	Running int
@@ -77,7 +80,10 @@
 // Timing of links and membership.
 const (
 	HeartbeatInterval = 500 * time.Millisecond
-	// AgentFreshness is the age of the last gateway heartbeat beyond which an agent starts nothing.
+	// AgentFreshness is the age of the last gateway heartbeat beyond which an agent starts nothing. The age counts
+	// from the sending of the agent's heartbeat that the gateway's heartbeat answers (EchoSeq), or from the dialing
+	// of a link whose GatewayHello has arrived: the time of receipt says nothing about messages that waited in a
+	// socket while the agent was paused or the network was cut.
 	AgentFreshness = 1500 * time.Millisecond
 	// LostAfter is the silence after which a process counts as lost.
 	LostAfter = 3 * time.Second
@@ -231,8 +237,10 @@
 
 // GatewayHeartbeat is sent to agents every HeartbeatInterval and at once after a change of its content.
 type GatewayHeartbeat struct {
-	_        struct{} `cbor:",toarray"`
-	Seq      uint64
+	_   struct{} `cbor:",toarray"`
+	Seq uint64
+	// EchoSeq is the highest AgentHeartbeat.Seq received on this link. The agent's right to start depends on it.
+	EchoSeq  uint64
 	Revision Revision
 	// Epoch is the epoch under which the sender owns the agent's pool, 0 if it does not.
 	Epoch Epoch
