--- a/internal/link/api.go
+++ b/internal/link/api.go
@@ -24,6 +24,13 @@
 	WriteTimeout = 3 * time.Second
 )
 
+// Paths of the gateways' link listener. The shared key of rosedrift processes, if one is set, is sent as
+// "Authorization: Bearer KEY".
+const (
+	PathAgent = "/v1/link/agent"
+	PathPeer  = "/v1/link/peer"
+)
+
 // Class orders envelopes in the writer.
 type Class uint8
 
