Add the state machine of the agent

Purpose: slots, start records, fencing and refusals of an agent in a deterministic form that can be tested without sockets and clocks.

- A start needs exactly the promised epoch, a fresh heartbeat, an admitting configuration and room for its record.
- Ends of tasks are reported again when a link breaks or a new owner appears; they are final, so copies do no harm.
Refusals are sent at most once, since a copy could be taken for the refusal of a later start of the same task.
A property test found this case for refusals that wait for an owner; a new start of the task now drops them.
- A withdrawal of an unknown task is answered with not withdrawn: its start may have been overtaken and come later.
- A repeated fence of the promised epoch also drops the waiting tasks, so that an owner that lost a link learns what its lost messages have not started.

--- /dev/null
+++ b/internal/agent/machine.go
@@ -0,0 +1,396 @@
+package agent
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"rosedrift.example/rosedrift/internal/link"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// never is the time of an event that has not happened. It is far enough from now that any timeout has passed.
+const never = -time.Hour
+
+// gatewayLink is the machine's view of a link.
+type gatewayLink struct {
+	id       LinkID
+	dialedAt time.Duration
+	// epoch is the ownership announced by the last heartbeat, 0 if none.
+	epoch structs.Epoch
+	// revision is the highest configuration revision that the gateway has announced.
+	revision structs.Revision
+	// behind is true if the previous heartbeat announced a higher revision than the agent's.
+	behind  bool
+	echoSeq uint64
+	sentSeq uint64
+	sentAt  [sentHeartbeats]time.Duration
+	lastAt  time.Duration
+}
+
+// sentHeartbeats is the number of sent heartbeats per link whose time is remembered for their echo.
+const sentHeartbeats = 64
+
+// running is a task handed to the backend server.
+type running struct {
+	queued
+	startedAt time.Duration
+	aborting  bool
+}
+
+// status is the part of the heartbeat whose change is reported at once.
+type status struct {
+	revision structs.Revision
+	promised structs.Epoch
+	leaving  bool
+}
+
+// Machine is the state of an agent. It is not safe for concurrent use.
+type Machine struct {
+	options Options
+	now     time.Duration
+	actions []Action
+
+	server      Announced
+	announcedAt time.Duration
+	withdrawn   bool
+	unreachable bool
+	stopping    bool
+	stopAt      time.Duration
+	stopped     bool
+
+	config   structs.Configuration
+	document structs.ConfigDocument
+
+	// promised is the highest promised epoch; starts need exactly this epoch.
+	promised structs.Epoch
+	// pool is the pool of the first fence. Promises are about this pool only.
+	pool structs.PoolID
+	// detached holds the epochs whose owner announced itself as detached and has not revoked it, with the time of
+	// the last such heartbeat.
+	detached map[structs.Epoch]time.Duration
+	// freshAt is the latest time after which a gateway is known to have sent a heartbeat or hello.
+	freshAt time.Duration
+	// links is in the order of LinkID, so that equal inputs give equal actions.
+	links []*gatewayLink
+
+	queue    []queued
+	running  map[taskKey]*running
+	aborting int
+	records  recordStore
+	// cancelled holds the recently cancelled jobs.
+	cancelled  map[structs.KeyHash]time.Duration
+	cancelFIFO fifo[expiry]
+
+	// sent holds the ended tasks reported within RedeliveryWindow; unreported those that the present owner may
+	// not have heard of; undelivered the refusals that no owner could be told.
+	sent        fifo[sentEvent]
+	unreported  []structs.TaskRef
+	undelivered []undeliveredEvent
+
+	stats Stats
+}
+
+// New returns the machine of an agent that has heard nothing yet.
+func New(now time.Duration, options Options) *Machine {
+	if options.QueueLength <= 0 {
+		options.QueueLength = DefaultQueueLength
+	}
+	if options.RecordBytes <= 0 {
+		options.RecordBytes = DefaultRecordBytes
+	}
+	return &Machine{
+		options:     options,
+		now:         now,
+		announcedAt: never,
+		detached:    make(map[structs.Epoch]time.Duration),
+		freshAt:     never,
+		running:     make(map[taskKey]*running),
+		records:     newRecordStore(options.RecordBytes),
+		cancelled:   make(map[structs.KeyHash]time.Duration),
+	}
+}
+
+// Fresh returns the time up to which the agent's knowledge is known to be current. Nothing may start when it is
+// AgentFreshness or more ago.
+func (m *Machine) Fresh() time.Duration { return m.freshAt }
+
+// Service returns the service and name of the backend server, empty before the first announcement.
+func (m *Machine) Service() (service, server string) { return m.server.Service, m.server.Server }
+
+// Stats returns the counters.
+func (m *Machine) Stats() Stats {
+	s := m.stats
+	s.Evicted = m.records.evicted
+	s.Running = len(m.running)
+	s.Queued = len(m.queue)
+	s.Slots = m.server.Slots
+	s.Records = m.records.count
+	s.RecordBytes = m.records.overhead + m.records.resultBytes
+	s.Links = len(m.links)
+	s.Revision = m.config.Revision
+	s.Promised = m.promised
+	s.Leaving = m.leaving()
+	return s
+}
+
+// Step handles one input at the time now, which must not decrease. The returned slice is valid until the next call.
+func (m *Machine) Step(now time.Duration, in Input) []Action {
+	assert(now >= m.now, "time does not decrease")
+	// A tick may find that the announcement has lapsed since the last step, so the status of then is taken first.
+	before := m.status()
+	m.now = now
+	clear(m.actions)
+	m.actions = m.actions[:0]
+	m.handle(in)
+	m.drainQueue()
+	if m.status() != before {
+		m.broadcastHeartbeat()
+	}
+	m.finishStop()
+	return m.actions
+}
+
+func (m *Machine) handle(in Input) {
+	switch in := in.(type) {
+	case Tick:
+		m.tick()
+	case Announced:
+		m.announced(in)
+	case Withdrawn:
+		m.withdrawn = true
+	case LinkUp:
+		m.linkUp(in)
+	case LinkDown:
+		m.linkDown(in.Link)
+	case Received:
+		if l := m.link(in.Link); l != nil {
+			m.received(l, in.Message)
+		}
+	case Ended:
+		m.ended(in)
+	case Stop:
+		m.stop()
+	default:
+		panic(fmt.Sprintf("agent: unknown input %T", in))
+	}
+}
+
+func (m *Machine) received(l *gatewayLink, message any) {
+	switch message := message.(type) {
+	case *structs.Start:
+		m.start(l, message)
+	case *structs.Withdraw:
+		m.withdraw(l, message)
+	case *structs.Cancel:
+		m.cancel(l, message)
+	case *structs.GatewayHello:
+		m.freshAt = max(m.freshAt, l.dialedAt)
+		l.revision = message.Revision
+	case *structs.GatewayHeartbeat:
+		m.heartbeat(l, message)
+	case *structs.Fence:
+		m.fence(l, message)
+	case *structs.FetchResults:
+		m.fetch(l, message)
+	case *structs.ConfigRequest:
+		m.sendDocument(l)
+	case *structs.ConfigDocument:
+		m.configure(message)
+	default:
+		m.emit(Warn{Message: fmt.Sprintf("ignored message %T", message)})
+	}
+}
+
+// link returns the open link with an id or nil.
+func (m *Machine) link(id LinkID) *gatewayLink {
+	for _, l := range m.links {
+		if l.id == id {
+			return l
+		}
+	}
+	return nil
+}
+
+func (m *Machine) emit(a Action) { m.actions = append(m.actions, a) }
+
+func (m *Machine) send(to LinkID, class link.Class, typ structs.MessageType, message any) {
+	m.emit(Send{Link: to, Class: class, Type: typ, Message: message})
+}
+
+func (m *Machine) status() status {
+	return status{revision: m.config.Revision, promised: m.promised, leaving: m.leaving()}
+}
+
+// leaving reports whether the backend server takes no new work.
+func (m *Machine) leaving() bool {
+	return m.stopping || m.withdrawn || m.unreachable || m.now-m.announcedAt >= AnnounceTimeout
+}
+
+// blocked returns why nothing may start now, or an empty string.
+func (m *Machine) blocked() string {
+	switch {
+	case m.stopping:
+		return "the agent is stopping"
+	case m.leaving():
+		return "the backend server is leaving"
+	case m.now-m.freshAt >= structs.AgentFreshness:
+		return "no fresh heartbeat from a gateway"
+	case m.config.Revision == 0 && m.knownRevision() > 0:
+		return "the configuration has not arrived yet"
+	case !m.config.ServerAllows(m.server.Service, m.options.Zone, m.options.Self.ID):
+		return "the zone is out or the server is draining"
+	case m.records.full():
+		return "the memory for start records is full"
+	}
+	return ""
+}
+
+func (m *Machine) knownRevision() structs.Revision {
+	var highest structs.Revision
+	for _, l := range m.links {
+		highest = max(highest, l.revision)
+	}
+	return highest
+}
+
+func (m *Machine) tick() {
+	m.records.expire(m.now)
+	m.forget()
+	for _, l := range m.links {
+		if m.now-l.lastAt >= HeartbeatFallback {
+			m.sendHeartbeat(l)
+		}
+	}
+}
+
+// forget drops the memory whose time has passed.
+func (m *Machine) forget() {
+	for m.sent.len() > 0 && m.now-m.sent.peek().at > RedeliveryWindow {
+		m.sent.pop()
+	}
+	for m.cancelFIFO.len() > 0 && m.cancelFIFO.peek().at <= m.now {
+		key := m.cancelFIFO.pop().key
+		if m.cancelled[key] <= m.now {
+			delete(m.cancelled, key)
+		}
+	}
+	for epoch, at := range m.detached {
+		if m.now-at > m.records.retention {
+			delete(m.detached, epoch)
+		}
+	}
+}
+
+// announced notes a sign of life of the backend server. Another service than the first is ignored, since the agent's
+// promises belong to a pool of that service.
+func (m *Machine) announced(in Announced) {
+	if m.server.Service != "" && m.server.Service != in.Service {
+		m.emit(Warn{Message: "ignored announcement of another service: " + in.Service})
+		return
+	}
+	changed := m.server != in
+	known := m.server.Service != ""
+	m.server = in
+	m.announcedAt = m.now
+	m.withdrawn = false
+	m.unreachable = false
+	if changed && known {
+		for _, l := range m.links {
+			m.sendHello(l)
+		}
+	}
+}
+
+func (m *Machine) linkUp(in LinkUp) {
+	l := &gatewayLink{id: in.Link, dialedAt: in.DialedAt, lastAt: never}
+	m.links = append(m.links, l)
+	m.sendHello(l)
+	m.sendHeartbeat(l)
+}
+
+func (m *Machine) sendHello(l *gatewayLink) {
+	m.send(l.id, link.Control, structs.TypeAgentHello, &structs.AgentHello{
+		Agent:       m.options.Self,
+		Zone:        m.options.Zone,
+		Service:     m.server.Service,
+		Server:      m.server.Server,
+		Slots:       m.server.Slots,
+		Connections: m.server.Connections,
+		Revision:    m.config.Revision,
+		Promised:    m.promised,
+		Leaving:     m.leaving(),
+	})
+}
+
+func (m *Machine) sendHeartbeat(l *gatewayLink) {
+	l.sentSeq++
+	l.sentAt[l.sentSeq%sentHeartbeats] = m.now
+	l.lastAt = m.now
+	m.send(l.id, link.Control, structs.TypeAgentHeartbeat, &structs.AgentHeartbeat{
+		Revision: m.config.Revision,
+		Promised: m.promised,
+		Seq:      l.sentSeq,
+		EchoSeq:  l.echoSeq,
+		Leaving:  m.leaving(),
+		Running:  len(m.running),
+		Queued:   len(m.queue),
+	})
+}
+
+func (m *Machine) broadcastHeartbeat() {
+	for _, l := range m.links {
+		m.sendHeartbeat(l)
+	}
+}
+
+// configure applies a document of a higher revision.
+func (m *Machine) configure(message *structs.ConfigDocument) {
+	if message.Revision <= m.config.Revision {
+		return
+	}
+	var config structs.Configuration
+	if err := json.Unmarshal(message.Document, &config); err != nil {
+		m.emit(Warn{Message: "ignored malformed configuration document", Err: err})
+		return
+	}
+	config.Revision = message.Revision
+	m.config = config
+	m.document = *message
+	// The retention never shrinks, since jobs admitted under the longer deadline may still be running.
+	m.records.retention = max(m.records.retention, RetentionAfterJob+config.Limits.MaxDeadline)
+}
+
+// sendDocument relays the configuration to a gateway that has an older one or none.
+func (m *Machine) sendDocument(l *gatewayLink) {
+	if m.document.Revision > 0 {
+		document := m.document
+		m.send(l.id, link.Control, structs.TypeConfigDocument, &document)
+	}
+}
+
+// stop begins the graceful stop: waiting tasks are returned, running ones finish.
+func (m *Machine) stop() {
+	if m.stopping {
+		return
+	}
+	m.stopping = true
+	m.stopAt = m.now
+	waiting := m.queue
+	m.queue = nil
+	for i := range waiting {
+		m.returnTask(&waiting[i], structs.TaskWithdrawn, "the agent is stopping")
+	}
+}
+
+// finishStop reports the end of a graceful stop once.
+func (m *Machine) finishStop() {
+	if !m.stopping || m.stopped || len(m.running) > 0 {
+		return
+	}
+	reported := len(m.unreported) == 0 && len(m.undelivered) == 0
+	if reported || m.now-m.stopAt >= FlushTimeout {
+		m.stopped = true
+		m.emit(Stopped{})
+	}
+}
--- /dev/null
+++ b/internal/agent/machine_test.go
@@ -0,0 +1,388 @@
+package agent
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"rosedrift.example/rosedrift/internal/structs"
+	_ "rosedrift.example/rosedrift/internal/testseed"
+)
+
+const (
+	testService = "lending"
+	testZone    = "catania"
+	testSlots   = 2
+)
+
+var (
+	testSelf = structs.AgentRef{ID: "oven-1", Incarnation: 1}
+	testPool = structs.PoolID{Service: testService}
+)
+
+func testTask(job, index int) structs.TaskRef {
+	return structs.TaskRef{
+		Job:   structs.JobID{Pool: testPool, Key: structs.KeyHash{byte(job), byte(job >> 8), byte(job >> 16)}},
+		Index: uint32(index),
+	}
+}
+
+func testDocument(t require.TestingT, revision structs.Revision, out, draining bool) *structs.ConfigDocument {
+	config := structs.Configuration{Revision: revision, Zones: map[string]structs.ZoneConfig{}}
+	if out {
+		config.Zones[testZone] = structs.ZoneConfig{State: structs.ZoneOut}
+	}
+	if draining {
+		config.Servers = map[string]structs.ServerConfig{string(testSelf.ID): {State: structs.ServerDraining}}
+	}
+	raw, err := json.Marshal(config)
+	require.NoError(t, err)
+	return &structs.ConfigDocument{Revision: revision, Document: raw}
+}
+
+// model drives a machine and checks every action against its own simple account.
+type model struct {
+	t        *rapid.T
+	m        *Machine
+	now      time.Duration
+	links    []LinkID
+	nextLink LinkID
+	beats    map[LinkID][]time.Duration
+	fresh    time.Duration
+	alive    time.Duration
+	promised structs.Epoch
+	revision structs.Revision
+	blocked  bool
+	stopping bool
+	// open holds received starts without a terminal event, ran those handed out, ended the tasks that have a
+	// record of their end.
+	open    map[structs.TaskRef]bool
+	ran     map[structs.TaskRef]bool
+	ended   map[structs.TaskRef]structs.TaskEventKind
+	aborted map[structs.TaskRef]bool
+	stopped int
+}
+
+func newModel(t *rapid.T) *model {
+	s := &model{
+		t: t, m: New(0, Options{Self: testSelf, Zone: testZone}), nextLink: 1, fresh: never, alive: never,
+		beats: map[LinkID][]time.Duration{}, open: map[structs.TaskRef]bool{},
+		ran: map[structs.TaskRef]bool{}, ended: map[structs.TaskRef]structs.TaskEventKind{},
+		aborted: map[structs.TaskRef]bool{},
+	}
+	s.announce()
+	s.linkUp()
+	s.fence(1)
+	s.beat(s.links[0], 1, true)
+	return s
+}
+
+func (s *model) do(in Input) {
+	for _, action := range s.m.Step(s.now, in) {
+		switch action := action.(type) {
+		case Run:
+			s.checkRun(action.Task.Task, action.Task.Priority)
+		case Send:
+			s.checkSend(action)
+		case Abort:
+			require.True(s.t, s.ran[action.Task])
+			s.aborted[action.Task] = true
+		case Stopped:
+			s.stopped++
+			require.Empty(s.t, s.ran)
+		}
+	}
+	require.LessOrEqual(s.t, s.m.Stats().Queued, DefaultQueueLength+len(s.aborted))
+}
+
+func (s *model) checkRun(task structs.TaskRef, priority structs.Priority) {
+	require.Contains(s.t, s.open, task)
+	require.False(s.t, s.ran[task], "a task started twice")
+	require.NotContains(s.t, s.ended, task, "a task started again after its end")
+	s.ran[task] = true
+	require.LessOrEqual(s.t, len(s.ran), testSlots)
+	require.False(s.t, s.blocked, "a task started in a zone that is out or on a draining server")
+	require.False(s.t, s.stopping)
+	require.Less(s.t, s.now-s.fresh, structs.AgentFreshness, "a task started without a fresh heartbeat")
+	require.Less(s.t, s.now-s.alive, AnnounceTimeout)
+	if priority == structs.Urgent {
+		return
+	}
+	for _, waiting := range s.m.queue {
+		require.NotEqual(s.t, structs.Urgent, waiting.task.Priority, "a routine task overtook an urgent one")
+	}
+}
+
+func (s *model) checkSend(action Send) {
+	switch message := action.Message.(type) {
+	case *structs.AgentHeartbeat:
+		s.beats[action.Link] = append(s.beats[action.Link], s.now)
+		require.EqualValues(s.t, len(s.beats[action.Link]), message.Seq)
+		require.Equal(s.t, s.promised, message.Promised)
+	case *structs.TaskEvents:
+		for _, event := range message.Events {
+			s.checkEvent(event)
+		}
+	}
+}
+
+func (s *model) checkEvent(event structs.TaskEvent) {
+	_, open := s.open[event.Task]
+	switch event.Kind {
+	case structs.TaskNotWithdrawn:
+		return
+	case structs.TaskRefused, structs.TaskWithdrawn:
+		require.True(s.t, open, "refusal without an open start")
+		require.False(s.t, s.ran[event.Task], "a started task was reported as not started")
+	default:
+		require.Equal(s.t, s.ended[event.Task], event.Kind, "an end was reported with another kind")
+	}
+	delete(s.open, event.Task)
+}
+
+func (s *model) announce() {
+	s.alive = s.now
+	s.do(Announced{Server: "oven", Service: testService, Slots: testSlots, Connections: 64})
+}
+
+func (s *model) linkUp() {
+	id := s.nextLink
+	s.nextLink++
+	s.links = append(s.links, id)
+	s.do(LinkUp{Link: id, DialedAt: s.now})
+	s.fresh = max(s.fresh, s.now)
+	s.do(Received{Link: id, Message: &structs.GatewayHello{}})
+}
+
+func (s *model) linkDown(at int) {
+	id := s.links[at]
+	s.links = append(append([]LinkID(nil), s.links[:at]...), s.links[at+1:]...)
+	s.do(LinkDown{Link: id})
+}
+
+// beat delivers a gateway heartbeat that answers the latest or an old heartbeat of the agent.
+func (s *model) beat(id LinkID, epoch structs.Epoch, latest bool) {
+	seq := len(s.beats[id])
+	if !latest {
+		seq = max(1, seq-5)
+	}
+	s.fresh = max(s.fresh, s.beats[id][seq-1])
+	s.do(Received{Link: id, Message: &structs.GatewayHeartbeat{Epoch: epoch, EchoSeq: uint64(seq)}})
+}
+
+func (s *model) fence(epoch structs.Epoch) {
+	if epoch >= s.promised {
+		s.promised = epoch
+		for task := range s.open {
+			if !s.ran[task] {
+				// The reply reports it as not started: this is its end.
+				delete(s.open, task)
+			}
+		}
+	}
+	s.do(Received{Link: s.links[0], Message: &structs.Fence{Pool: testPool, Epoch: epoch}})
+}
+
+func (s *model) start(id LinkID, epoch structs.Epoch, task structs.TaskRef, priority structs.Priority) {
+	if _, open := s.open[task]; !open {
+		if _, ended := s.ended[task]; !ended {
+			s.open[task] = true
+		}
+	}
+	start := &structs.Start{Epoch: epoch, Tasks: []structs.TaskStart{{Task: task, Priority: priority}}}
+	s.do(Received{Link: id, Message: start})
+}
+
+func (s *model) end(task structs.TaskRef, kind structs.TaskEventKind) {
+	delete(s.ran, task)
+	if s.aborted[task] {
+		delete(s.aborted, task)
+		kind = structs.TaskAborted
+	}
+	if kind != structs.TaskRefused {
+		s.ended[task] = kind
+	}
+	s.do(Ended{Task: task, Kind: kind})
+}
+
+func (s *model) randomTask() structs.TaskRef {
+	return testTask(rapid.IntRange(0, 3).Draw(s.t, "job"), rapid.IntRange(0, 5).Draw(s.t, "index"))
+}
+
+func (s *model) randomRunning() (structs.TaskRef, bool) {
+	for job := range 4 {
+		for index := range 6 {
+			if task := testTask(job, index); s.ran[task] && rapid.Bool().Draw(s.t, "this") {
+				return task, true
+			}
+		}
+	}
+	return structs.TaskRef{}, false
+}
+
+func (s *model) randomStep() {
+	s.now += time.Millisecond
+	if rapid.IntRange(0, 15).Draw(s.t, "pause") == 0 {
+		s.now += time.Duration(rapid.SampledFrom([]int{300, 1600, 4000}).Draw(s.t, "ms")) * time.Millisecond
+	}
+	if len(s.links) == 0 {
+		s.linkUp()
+	}
+	at := rapid.IntRange(0, len(s.links)-1).Draw(s.t, "link")
+	id := s.links[at]
+	epoch := max(1, s.promised+structs.Epoch(rapid.IntRange(0, 2).Draw(s.t, "epoch"))) - 1
+	task := s.randomTask()
+	switch rapid.IntRange(0, 16).Draw(s.t, "input") {
+	case 0, 1, 2, 3:
+		s.start(id, s.promised, task, structs.Priority(rapid.IntRange(0, 1).Draw(s.t, "priority")))
+	case 4:
+		s.start(id, epoch, task, structs.Routine)
+	case 5, 6:
+		if task, ok := s.randomRunning(); ok {
+			kinds := []structs.TaskEventKind{structs.TaskFinished, structs.TaskFailed, structs.TaskRefused}
+			s.end(task, rapid.SampledFrom(kinds).Draw(s.t, "kind"))
+		}
+	case 7, 8:
+		s.beat(id, epoch, rapid.Bool().Draw(s.t, "latest"))
+	case 9, 10:
+		s.announce()
+	case 11:
+		s.do(Received{Link: id, Message: &structs.Withdraw{Epoch: s.promised, Tasks: []structs.TaskRef{task}}})
+	case 12:
+		s.do(Received{Link: id, Message: &structs.Cancel{Epoch: epoch, Job: task.Job}})
+	case 13:
+		s.fence(epoch)
+	case 14:
+		s.revision++
+		out, draining := rapid.Bool().Draw(s.t, "out"), rapid.Bool().Draw(s.t, "draining")
+		s.blocked = out || draining
+		s.do(Received{Link: id, Message: testDocument(s.t, s.revision, out, draining)})
+		s.do(Received{Link: id, Message: testDocument(s.t, s.revision-1, false, false)})
+	case 15:
+		s.linkDown(at)
+	default:
+		s.do(Tick{})
+	}
+}
+
+// TestMachineKeepsItsInvariants guards against double starts, starts beyond the slots, starts under a promised-away
+// epoch, in a zone that is out or without a fresh heartbeat, false refusals, and starts whose end nobody learns of.
+func TestMachineKeepsItsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newModel(t)
+		for range rapid.IntRange(1, 1000).Draw(t, "steps") {
+			s.randomStep()
+		}
+		s.stopping = true
+		s.do(Stop{})
+		s.linkUp()
+		for task := range s.ran {
+			s.end(task, structs.TaskFinished)
+		}
+		s.beat(s.links[len(s.links)-1], s.promised+1, true)
+		s.do(Tick{})
+		require.Empty(t, s.open, "a start got no terminal event")
+		require.Equal(t, 1, s.stopped)
+	})
+}
+
+// TestResultReachesNewOwnerAndSurvivesBrokenLink guards against a job that waits forever because the end of a task was
+// sent to an owner that is gone.
+func TestResultReachesNewOwnerAndSurvivesBrokenLink(t *testing.T) {
+	m := New(0, Options{Self: testSelf, Zone: testZone})
+	m.Step(0, Announced{Service: testService, Slots: testSlots, Connections: 64})
+	m.Step(0, LinkUp{Link: 1})
+	m.Step(0, LinkUp{Link: 2})
+	m.Step(0, Received{Link: 1, Message: &structs.GatewayHello{}})
+	m.Step(0, Received{Link: 1, Message: &structs.Fence{Pool: testPool, Epoch: 1}})
+	m.Step(0, Received{Link: 1, Message: &structs.GatewayHeartbeat{Seq: 1, Epoch: 1, Detached: true}})
+	task, lost := testTask(1, 0), testTask(1, 1)
+	m.Step(0, Received{Link: 1, Message: &structs.Start{Epoch: 1, Tasks: []structs.TaskStart{{Task: task}, {Task: lost}}}})
+
+	reply := sentMessages[*structs.FenceReply](m.Step(0, Received{Link: 2, Message: &structs.Fence{Pool: testPool, Epoch: 2}}))[0]
+	require.True(t, reply.Detached)
+	require.Equal(t, structs.RecordRunning, reply.Jobs[0].Tasks[0].State)
+	old := sentMessages[*structs.AgentHeartbeat](m.Step(0, Received{Link: 1, Message: &structs.GatewayHeartbeat{Seq: 2, Epoch: 1}}))[0]
+	require.EqualValues(t, 1, old.EchoSeq, "a promised-away owner was acknowledged")
+
+	// The old owner still hears of the end, the new one when it announces itself.
+	ended := m.Step(0, Ended{Task: task, Kind: structs.TaskFinished, Result: []byte("r")})
+	require.Equal(t, LinkID(1), ended[0].(Send).Link)
+	events := sentMessages[*structs.TaskEvents](m.Step(0, Received{Link: 2, Message: &structs.GatewayHeartbeat{Epoch: 2}}))
+	require.Equal(t, []byte("r"), events[0].Events[0].Result)
+	refused := m.Step(0, Ended{Task: lost, Kind: structs.TaskRefused})
+	require.Equal(t, LinkID(2), refused[0].(Send).Link, "the new owner saw a record that is gone")
+	m.Step(0, LinkDown{Link: 2})
+	m.Step(0, LinkUp{Link: 3})
+	events = sentMessages[*structs.TaskEvents](m.Step(0, Received{Link: 3, Message: &structs.GatewayHeartbeat{Epoch: 2}}))
+	require.Equal(t, []byte("r"), events[0].Events[0].Result)
+	results := sentMessages[*structs.Results](m.Step(0, Received{Link: 3, Message: &structs.FetchResults{Job: task.Job}}))
+	require.Equal(t, structs.TaskFinished, results[0].Events[0].Kind)
+}
+
+func sentMessages[T any](actions []Action) []T {
+	var found []T
+	for _, a := range actions {
+		if s, ok := a.(Send); ok {
+			if message, ok := s.Message.(T); ok {
+				found = append(found, message)
+			}
+		}
+	}
+	return found
+}
+
+// TestRecordsKeepTheirBound guards against memory growth, against forgetting a start before its retention ends, and
+// against results that are lost while there is room.
+func TestRecordsKeepTheirBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 20_000
+		s := newRecordStore(limit)
+		now := time.Duration(0)
+		ends := map[taskKey]time.Duration{}
+		for i := range rapid.IntRange(1, 300).Draw(t, "tasks") {
+			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "seconds")) * time.Second
+			task := testTask(rapid.IntRange(0, 20).Draw(t, "job"), i)
+			s.expire(now)
+			if s.full() {
+				continue
+			}
+			s.add(task, 1, false)
+			s.end(now, Ended{Task: task, Kind: structs.TaskFinished, Result: make([]byte, rapid.IntRange(0, 2000).Draw(t, "size"))})
+			ends[keyOf(task)] = now
+			require.LessOrEqual(t, s.overhead+s.resultBytes, int64(limit))
+		}
+		for key, end := range ends {
+			require.True(t, s.find(key) != nil || now-end >= RecordRetention, "a record was forgotten early")
+		}
+		s.expire(now + RecordRetention)
+		require.Empty(t, s.jobs)
+		require.Zero(t, s.count)
+		require.Zero(t, s.overhead+s.resultBytes)
+		require.Zero(t, s.results.len())
+	})
+}
+
+// BenchmarkStep measures one task through the machine: start, run, end, report.
+func BenchmarkStep(b *testing.B) {
+	m := New(0, Options{Self: testSelf, Zone: testZone})
+	m.Step(0, Announced{Service: testService, Slots: testSlots, Connections: 64})
+	m.Step(0, LinkUp{Link: 1})
+	m.Step(0, Received{Link: 1, Message: &structs.GatewayHello{}})
+	m.Step(0, Received{Link: 1, Message: &structs.Fence{Pool: testPool, Epoch: 1}})
+	m.Step(0, Received{Link: 1, Message: &structs.GatewayHeartbeat{Seq: 1, Epoch: 1}})
+	b.ReportAllocs()
+	for i := range b.N {
+		task := testTask(i/60, i%60)
+		now := time.Duration(i) * 10 * time.Millisecond
+		m.freshAt, m.announcedAt = now, now
+		m.Step(now, Received{Link: 1, Message: &structs.Start{Epoch: 1, Tasks: []structs.TaskStart{{Task: task}}}})
+		m.Step(now, Ended{Task: task, Kind: structs.TaskFinished, Result: make([]byte, 100)})
+		if i%1000 == 0 {
+			m.Step(now, Tick{})
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/starts.go
@@ -0,0 +1,265 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"rosedrift.example/rosedrift/internal/link"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// queued is a task that waits for a slot.
+type queued struct {
+	task      structs.TaskStart
+	epoch     structs.Epoch
+	from      LinkID
+	arrivedAt time.Duration
+}
+
+// start handles a batch of starts. Each is started, queued, refused, or ignored as a duplicate.
+func (m *Machine) start(l *gatewayLink, message *structs.Start) {
+	var events []structs.TaskEvent
+	for i := range message.Tasks {
+		entry := queued{task: message.Tasks[i], epoch: message.Epoch, from: l.id, arrivedAt: m.now}
+		if m.isKnown(l, &entry) {
+			m.stats.Duplicates++
+			continue
+		}
+		m.dropUndelivered(entry.task.Task)
+		if reason := m.admit(&entry); reason != "" {
+			m.stats.Refused++
+			events = append(events, structs.TaskEvent{
+				Task: entry.task.Task, Kind: structs.TaskRefused, Error: reason,
+			})
+		}
+	}
+	m.sendEvents(l.id, classOf(message.Tasks), message.Epoch, events)
+}
+
+func classOf(tasks []structs.TaskStart) link.Class {
+	for i := range tasks {
+		if tasks[i].Priority == structs.Urgent {
+			return link.Urgent
+		}
+	}
+	return link.Bulk
+}
+
+// isKnown handles a repeated start. A task that has a record is never refused, because a refusal says that it has not
+// started; the end of an ended one is reported again.
+func (m *Machine) isKnown(l *gatewayLink, entry *queued) bool {
+	key := keyOf(entry.task.Task)
+	if r := m.records.find(key); r != nil {
+		if r.state != structs.RecordRunning {
+			m.sendEvents(l.id, link.Bulk, entry.epoch, []structs.TaskEvent{r.event(entry.task.Task)})
+		}
+		return true
+	}
+	return m.queueIndex(key) >= 0
+}
+
+func (m *Machine) queueIndex(key taskKey) int {
+	return slices.IndexFunc(m.queue, func(q queued) bool { return keyOf(q.task.Task) == key })
+}
+
+// admit starts or queues a new task, or returns why it is refused.
+func (m *Machine) admit(entry *queued) (refusal string) {
+	if entry.epoch != m.promised || entry.epoch == 0 {
+		return "the epoch is not the promised one"
+	}
+	if _, ok := m.cancelled[entry.task.Task.Job.Key]; ok {
+		return "the job is cancelled"
+	}
+	if reason := m.blocked(); reason != "" {
+		return reason
+	}
+	if len(m.running) < m.limit() {
+		m.launch(entry)
+		return ""
+	}
+	// The owner counts the slots of aborted tasks as free at once, so their successors may wait here.
+	if len(m.queue) < m.options.QueueLength+m.aborting {
+		m.queue = append(m.queue, *entry)
+		return ""
+	}
+	if entry.task.Priority == structs.Urgent && m.displace() {
+		m.queue = append(m.queue, *entry)
+		return ""
+	}
+	return "all slots and the queue are full"
+}
+
+// limit returns how many tasks may run.
+func (m *Machine) limit() int { return min(m.server.Slots, m.server.Connections) }
+
+// displace returns the routine task that came last, to make room for an urgent one.
+func (m *Machine) displace() bool {
+	for i := len(m.queue) - 1; i >= 0; i-- {
+		if m.queue[i].task.Priority != structs.Urgent {
+			entry := m.queue[i]
+			m.queue = slices.Delete(m.queue, i, i+1)
+			m.returnTask(&entry, structs.TaskRefused, "displaced by an urgent task")
+			return true
+		}
+	}
+	return false
+}
+
+// launch hands a task to the backend server. The caller has checked blocked at the present time.
+func (m *Machine) launch(entry *queued) {
+	assert(len(m.running) < m.limit(), "running tasks do not exceed slots and connections")
+	assert(entry.epoch == m.promised, "a task starts only under the promised epoch")
+	assert(m.now-m.freshAt < structs.AgentFreshness, "a task starts only with a fresh heartbeat")
+	task := entry.task.Task
+	m.records.add(task, entry.epoch, entry.task.Priority == structs.Urgent)
+	m.running[keyOf(task)] = &running{queued: *entry, startedAt: m.now}
+	m.stats.Started++
+	m.emit(Run{Task: entry.task})
+}
+
+// drainQueue starts waiting tasks in free slots, urgent ones first, or returns all of them if nothing may start.
+func (m *Machine) drainQueue() {
+	if len(m.queue) == 0 {
+		return
+	}
+	blocked := m.blocked()
+	if blocked != "" && m.mustReturn() {
+		waiting := m.queue
+		m.queue = nil
+		for i := range waiting {
+			m.returnTask(&waiting[i], structs.TaskRefused, blocked)
+		}
+		return
+	}
+	for len(m.queue) > 0 && len(m.running) < m.limit() && m.blocked() == "" {
+		i := max(0, slices.IndexFunc(m.queue, func(q queued) bool { return q.task.Priority == structs.Urgent }))
+		entry := m.queue[i]
+		m.queue = slices.Delete(m.queue, i, i+1)
+		m.launch(&entry)
+	}
+	assert(len(m.queue) <= m.options.QueueLength+m.server.Slots, "the queue is bounded")
+}
+
+// mustReturn reports whether blocked tasks are returned now. A missing heartbeat alone returns them only when a slot
+// is free: a gateway that was late by a moment must not cost two messages per waiting task.
+func (m *Machine) mustReturn() bool {
+	return len(m.running) < m.limit() || m.now-m.freshAt < structs.AgentFreshness || m.leaving()
+}
+
+// returnTask reports that a waiting task will not start here.
+func (m *Machine) returnTask(entry *queued, kind structs.TaskEventKind, reason string) {
+	if kind == structs.TaskRefused {
+		m.stats.Refused++
+	} else {
+		m.stats.Withdrawn++
+	}
+	m.deliverOnce(entry.from, entry.epoch, structs.TaskEvent{Task: entry.task.Task, Kind: kind, Error: reason})
+}
+
+// withdraw answers for each task whether it was still waiting. A task that is not known is reported as not withdrawn:
+// its start may have been overtaken by this message and run later.
+func (m *Machine) withdraw(l *gatewayLink, message *structs.Withdraw) {
+	events := make([]structs.TaskEvent, 0, len(message.Tasks))
+	for _, task := range message.Tasks {
+		event := structs.TaskEvent{Task: task, Kind: structs.TaskNotWithdrawn}
+		i := m.queueIndex(keyOf(task))
+		if i >= 0 && message.Epoch == m.queue[i].epoch {
+			m.queue = slices.Delete(m.queue, i, i+1)
+			event.Kind = structs.TaskWithdrawn
+			m.stats.Withdrawn++
+		}
+		events = append(events, event)
+	}
+	m.sendEvents(l.id, link.Urgent, message.Epoch, events)
+}
+
+// cancel drops the waiting tasks of a job and aborts the running ones.
+func (m *Machine) cancel(l *gatewayLink, message *structs.Cancel) {
+	if message.Epoch < m.promised {
+		return
+	}
+	key := message.Job.Key
+	until := m.now + CancelMemory
+	m.cancelled[key] = until
+	m.cancelFIFO.push(expiry{key: key, at: until})
+	var events []structs.TaskEvent
+	m.queue = slices.DeleteFunc(m.queue, func(q queued) bool {
+		if q.task.Task.Job.Key != key {
+			return false
+		}
+		m.stats.Withdrawn++
+		events = append(events, structs.TaskEvent{Task: q.task.Task, Kind: structs.TaskWithdrawn})
+		return true
+	})
+	m.sendEvents(l.id, link.Urgent, message.Epoch, events)
+	job := m.records.jobs[key]
+	if job == nil || job.running == 0 {
+		return
+	}
+	for i := range job.records {
+		m.abort(taskKey{key: key, index: job.records[i].index})
+	}
+}
+
+func (m *Machine) abort(key taskKey) {
+	r := m.running[key]
+	if r == nil || r.aborting {
+		return
+	}
+	r.aborting = true
+	m.aborting++
+	m.emit(Abort{Task: r.task.Task})
+}
+
+// ended frees the slot of a task and reports its end.
+func (m *Machine) ended(in Ended) {
+	key := keyOf(in.Task)
+	r := m.running[key]
+	assert(r != nil, "only running tasks end")
+	delete(m.running, key)
+	if r.aborting {
+		m.aborting--
+	}
+	m.unreachable = m.unreachable || in.Unreachable
+	if in.Kind == structs.TaskRefused {
+		m.neverStarted(r, in.Error)
+		return
+	}
+	m.records.end(m.now, in)
+	m.count(in.Kind)
+	event := structs.TaskEvent{
+		Task:     in.Task,
+		Kind:     in.Kind,
+		RunTime:  in.RunTime,
+		WaitTime: r.startedAt - r.arrivedAt,
+		Result:   in.Result,
+		Error:    in.Error,
+	}
+	m.report(r.epoch, r.task.Priority, event)
+}
+
+// neverStarted takes back the record of a task of which nothing reached the backend server.
+func (m *Machine) neverStarted(r *running, reason string) {
+	m.records.remove(m.now, keyOf(r.task.Task))
+	m.stats.Started--
+	kind := structs.TaskRefused
+	if r.aborting {
+		kind = structs.TaskWithdrawn
+	}
+	if r.epoch != m.promised {
+		// The owner of the promised epoch has seen the record, so it must hear of the refusal.
+		r.from = noLink
+	}
+	m.returnTask(&r.queued, kind, reason)
+}
+
+func (m *Machine) count(kind structs.TaskEventKind) {
+	switch kind {
+	case structs.TaskFinished:
+		m.stats.Finished++
+	case structs.TaskAborted:
+		m.stats.Aborted++
+	default:
+		m.stats.Failed++
+	}
+}
