--- /dev/null
+++ b/internal/dispatch/adopt.go
@@ -0,0 +1,311 @@
+package dispatch
+
+import (
+	"time"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// adopt ends a takeover: keys of the journal and of the agents' start records become known.
+func (p *Pool) adopt(in Adopt) {
+	if p.adopted {
+		return
+	}
+	p.collect(in)
+	p.resumeRunning()
+	p.recentTickets = in.Complete
+	if in.Doubt {
+		p.doubtUntil = p.now + p.options.Retention
+	}
+	p.endRecovery()
+}
+
+func (p *Pool) endRecovery() {
+	p.adopted = true
+	p.adoptedAt = p.now
+	p.noServerSince = p.now
+	p.unseenBy = p.now + structs.LostAfter
+	p.releaseHeld()
+}
+
+// collect adds the jobs of the journal and of the start records as bodiless ones.
+func (p *Pool) collect(in Adopt) {
+	recent := make(map[structs.KeyHash]bool, len(in.RecentOnce))
+	for _, key := range in.RecentOnce {
+		recent[key] = true
+	}
+	for _, entry := range in.Journal {
+		j := p.bodiless(entry.Key, in.Complete)
+		j.digest, j.hasDigest = entry.Digest, true
+		j.count = int(entry.Tasks)
+		j.repeatable = entry.Repeatable
+		j.journaled = true
+		j.proven = in.Complete && (entry.Repeatable || recent[entry.Key])
+	}
+	for _, records := range in.Records {
+		a := p.agentOf(records.Agent)
+		for _, jobRecords := range records.Jobs {
+			p.addRecords(p.bodiless(jobRecords.Key, in.Complete), a, jobRecords.Tasks)
+		}
+	}
+}
+
+func (p *Pool) addRecords(j *job, a *agent, tasks []structs.TaskRecord) {
+	for _, t := range tasks {
+		j.records = append(j.records, record{agent: a, index: t.Index, state: t.State})
+	}
+}
+
+// bodiless returns the job of a key, which is added if it is unknown. Jobs known from start records alone count as
+// repeatable until their submission says otherwise.
+func (p *Pool) bodiless(key structs.KeyHash, proven bool) *job {
+	if j := p.jobs[key]; j != nil {
+		return j
+	}
+	j := &job{
+		id:         structs.JobID{Pool: p.options.Pool, Key: key},
+		repeatable: true,
+		proven:     proven,
+	}
+	p.addJob(j, p.now+p.options.Retention+structs.DefaultMaxDeadline)
+	return j
+}
+
+// resumeRunning materializes the jobs that have running tasks, since these occupy slots. The others keep only their
+// records until someone asks for them.
+func (p *Pool) resumeRunning() {
+	for j := p.live.first; j != nil; {
+		next := j.next
+		if j.state == jobBodiless && j.hasRunning() {
+			p.materialize(j)
+		}
+		j = next
+	}
+}
+
+func (j *job) hasRunning() bool {
+	for _, r := range j.records {
+		if r.state == structs.RecordRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// materialize builds the task list of a bodiless job from its records and asks the agents for results. The job may
+// end by that.
+func (p *Pool) materialize(j *job) {
+	if j.tasks != nil {
+		p.fetchJob(j)
+		return
+	}
+	j.tasks = make([]task, j.size())
+	found := p.applyRecords(j)
+	j.records = nil
+	switch {
+	case found.failed:
+		p.endJob(j, structs.CodeTaskFailed, structs.OutcomeFailed, "a task failed under the previous owner")
+	case found.lost:
+		p.endJob(j, structs.CodeServerLost, p.outcomeNow(j), "a server with tasks of the previous owner was lost")
+	case found.gone && j.recorded == j.count && j.count > 0:
+		p.finishGone(j)
+	case found.gone:
+		p.endJob(j, structs.CodeResultGone, p.outcomeNow(j), "an agent has dropped the result of a task")
+	case !j.proven && j.started() < j.count:
+		p.endUnproven(j)
+	default:
+		p.fetchJob(j)
+	}
+}
+
+func (j *job) size() int {
+	size := j.count
+	for _, r := range j.records {
+		size = max(size, int(r.index)+1)
+	}
+	return size
+}
+
+// findings sums up what the records of a job say beyond running and finished tasks.
+type findings struct{ failed, lost, gone bool }
+
+func (p *Pool) applyRecords(j *job) findings {
+	var found findings
+	for _, r := range j.records {
+		if j.tasks[r.index].state != taskWaiting {
+			continue
+		}
+		switch {
+		case r.state == structs.RecordFailed:
+			found.failed = true
+			p.recordEnded(j, r.index)
+		case r.state == structs.RecordEvicted:
+			found.gone = true
+			p.recordEnded(j, r.index)
+		case r.agent.lost && r.state == structs.RecordRunning:
+			// Whether the task has ended is unknown, which outcomeNow learns from proven.
+			found.lost, j.proven = true, false
+		case r.agent.lost:
+			found.lost = true
+			p.recordEnded(j, r.index)
+		case r.state == structs.RecordRunning:
+			p.attach(j, r.index, r.agent, taskSent)
+			p.index.Occupy(r.agent.server)
+		default:
+			p.attach(j, r.index, r.agent, taskRecorded)
+		}
+	}
+	return found
+}
+
+// recordEnded counts a task that has ended and whose result cannot be had.
+func (p *Pool) recordEnded(j *job, index uint32) {
+	j.tasks[index].state = taskRecorded
+	j.recorded++
+}
+
+// fetchJob asks each agent that holds results of a job for them.
+func (p *Pool) fetchJob(j *job) {
+	if j.recorded == 0 {
+		return
+	}
+	p.sequence++
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.state == taskRecorded && t.agent.seen && t.agent.mark != p.sequence {
+			t.agent.mark = p.sequence
+			p.emit(SendFetch{Agent: t.agent.ref, Fetch: structs.FetchResults{Job: j.id}})
+		}
+	}
+}
+
+// fetchAgent asks an agent for the results of all jobs that have tasks there.
+func (p *Pool) fetchAgent(a *agent, includeSent bool) {
+	asked := make(map[*job]bool)
+	for _, t := range a.tasks {
+		state := t.job.tasks[t.index].state
+		if asked[t.job] || (state == taskSent && !includeSent) {
+			continue
+		}
+		asked[t.job] = true
+		p.emit(SendFetch{Agent: a.ref, Fetch: structs.FetchResults{Job: t.job.id}})
+	}
+}
+
+// Snapshot returns the state of the pool for a planned handover. From then on the pool is suspended: it starts
+// nothing unless SetMode says otherwise, so that the snapshot stays true.
+func (p *Pool) Snapshot(now time.Duration) []structs.HandoffJob {
+	p.now = max(p.now, now)
+	p.mode = Suspended
+	jobs := make([]structs.HandoffJob, 0, len(p.jobs))
+	for _, ring := range []*jobRing{&p.ended.once, &p.ended.repeatable} {
+		for _, j := range ring.jobs[ring.head:] {
+			jobs = append(jobs, p.snapshotEnded(j))
+		}
+	}
+	for j := p.live.first; j != nil; j = j.next {
+		if j.state == jobLive {
+			jobs = append(jobs, p.snapshotLive(j))
+		}
+	}
+	return jobs
+}
+
+// snapshotEnded describes a job that has ended. Without kept results the answer has a problem of CodeResultGone.
+func (p *Pool) snapshotEnded(j *job) structs.HandoffJob {
+	h := structs.HandoffJob{Answer: j.answer, Age: p.now - j.admitted}
+	if j.sub != nil {
+		h.Submission = *j.sub
+	} else {
+		h.Submission = structs.Submission{Job: j.id, Digest: j.digest, Repeatable: j.repeatable}
+	}
+	if j.resultsGone {
+		problem := problemOf(structs.CodeResultGone, structs.OutcomeComplete, "the results are no longer kept")
+		h.Answer = &structs.Answer{Job: j.id, Outcome: structs.OutcomeComplete, Problem: problem}
+	}
+	return h
+}
+
+func (p *Pool) snapshotLive(j *job) structs.HandoffJob {
+	h := structs.HandoffJob{Submission: *j.sub, Results: make([][]byte, j.count), Age: p.now - j.admitted}
+	for i := range j.tasks {
+		if j.tasks[i].state == taskWaiting {
+			continue
+		}
+		h.Started = append(h.Started, uint32(i))
+		if j.tasks[i].state == taskFinished {
+			h.Results[i] = j.results[i]
+		}
+	}
+	return h
+}
+
+// restore ends a planned handover. The snapshot is the whole knowledge of the previous owner, so that nothing is in
+// doubt. The collection tells which of the sent tasks have started.
+func (p *Pool) restore(in Restore) {
+	if p.adopted {
+		return
+	}
+	p.collect(in.Collection)
+	p.recentTickets = true
+	for i := range in.Jobs {
+		p.restoreJob(&in.Jobs[i], in.Collection.Complete)
+	}
+	p.resumeRunning()
+	p.endRecovery()
+}
+
+func (p *Pool) restoreJob(h *structs.HandoffJob, complete bool) {
+	sub := &h.Submission
+	j := p.bodiless(sub.Job.Key, true)
+	if j.state == jobEnded {
+		return
+	}
+	j.admitted = p.now - h.Age
+	if h.Answer != nil {
+		p.restoreEnded(j, h)
+		return
+	}
+	p.setDue(j, j.admitted+p.deadline(sub))
+	// The previous owner knows that tasks outside Started have not started.
+	j.proven = true
+	j.count = len(sub.Payloads)
+	p.materialize(j)
+	if j.state == jobEnded {
+		return
+	}
+	p.restoreTasks(j, h, complete)
+	j.journaled = j.journaled || len(h.Started) > 0
+	p.giveBody(j, sub)
+}
+
+// restoreTasks applies the results of a snapshot. A started task without result and record was dropped from its
+// agent's queue, which the collection proves only if it is complete.
+func (p *Pool) restoreTasks(j *job, h *structs.HandoffJob, complete bool) {
+	j.results = growResults(j.results, j.count)
+	for _, index := range h.Started {
+		t := &j.tasks[index]
+		if h.Results[index] == nil {
+			j.proven = j.proven && (complete || t.state != taskWaiting)
+			continue
+		}
+		if t.state == taskSent || t.state == taskRecorded {
+			p.detach(j, index)
+		}
+		t.state = taskFinished
+		j.finished++
+		j.results[index] = h.Results[index]
+	}
+}
+
+func (p *Pool) restoreEnded(j *job, h *structs.HandoffJob) {
+	j.sub = &h.Submission
+	j.digest, j.hasDigest = h.Submission.Digest, true
+	j.repeatable = h.Submission.Repeatable
+	j.count = len(h.Answer.Results)
+	if h.Answer.Problem != nil && h.Answer.Problem.Code == structs.CodeResultGone && h.Answer.Outcome == structs.OutcomeComplete {
+		p.finishGone(j)
+		return
+	}
+	p.finish(j, h.Answer)
+}
--- /dev/null
+++ b/internal/dispatch/agent.go
@@ -0,0 +1,213 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+
+	"rosedrift.example/rosedrift/internal/placement"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// agent is one incarnation of an agent.
+type agent struct {
+	ref     structs.AgentRef
+	update  AgentUpdate
+	seen    bool
+	lost    bool
+	allowed bool
+	server  *placement.Server
+	tasks   []agentTask
+	// mark is the number of the last walk over tasks that met the agent.
+	mark    uint64
+	pending []structs.TaskStart
+	// pendingUrgent is set if any of pending is urgent.
+	pendingUrgent bool
+}
+
+// agentTask is a task that is sent to or recorded at an agent.
+type agentTask struct {
+	job   *job
+	index uint32
+}
+
+// agentOf returns a known agent or adds it. New agents get no work before an AgentUpdate.
+func (p *Pool) agentOf(ref structs.AgentRef) *agent {
+	if a, ok := p.agents[ref]; ok {
+		return a
+	}
+	a := &agent{ref: ref, allowed: true}
+	a.server = p.index.Join(a)
+	p.agents[ref] = a
+	p.roster = append(p.roster, a)
+	return a
+}
+
+func (p *Pool) updateAgent(in AgentUpdate) {
+	a := p.agentOf(in.Agent)
+	wasLeaving := a.update.Leaving
+	first := !a.seen
+	a.update, a.seen = in, true
+	if first {
+		a.allowed = p.config.ServerAllows(p.options.Pool.Service, in.Zone, in.Agent.ID)
+	}
+	p.refreshAgent(a, false)
+	if in.Leaving && !wasLeaving {
+		p.withdrawQueued(a)
+	}
+	if first || in.Relinked {
+		p.fetchAgent(a, in.Relinked)
+	}
+}
+
+// refreshAgent applies an agent's properties to the placement index.
+func (p *Pool) refreshAgent(a *agent, ramp bool) {
+	slots := max(a.update.Slots, 0)
+	if a.update.Connections > 0 {
+		slots = min(slots, a.update.Connections)
+	}
+	serving := a.seen && a.update.Eligible && !a.update.Leaving && a.allowed && slots > 0
+	had := p.index.Serving() > 0
+	p.index.Update(a.server, slots, serving, ramp)
+	if had && p.index.Serving() == 0 {
+		p.noServerSince = p.now
+	}
+}
+
+// loseAgent ends the jobs that have a task at a lost agent: whether the task has run is unknown for good.
+func (p *Pool) loseAgent(ref structs.AgentRef) {
+	a, ok := p.agents[ref]
+	if !ok {
+		return
+	}
+	a.lost = true
+	a.update.Eligible = false
+	p.refreshAgent(a, false)
+	for len(a.tasks) > 0 {
+		j := a.tasks[len(a.tasks)-1].job
+		p.endJob(j, structs.CodeServerLost, p.outcomeLost(j), "server "+string(ref.ID)+" was lost")
+	}
+	delete(p.agents, ref)
+	p.roster = slices.DeleteFunc(p.roster, func(b *agent) bool { return a == b })
+	p.index.Leave(a.server)
+}
+
+// outcomeLost is the outcome of a job with a task at a lost agent: failed if each started task is known to have
+// ended and only a result is lost.
+func (p *Pool) outcomeLost(j *job) structs.Outcome {
+	if j.sent == 0 {
+		return structs.OutcomeFailed
+	}
+	return structs.OutcomeMayHaveRun
+}
+
+// withdrawQueued asks for the tasks that an agent may hold in its queue. Only the agent knows which of the tasks in
+// flight run, so it is asked for all of them if there are more than slots.
+func (p *Pool) withdrawQueued(a *agent) {
+	if a.server.Inflight() <= a.server.Slots() {
+		return
+	}
+	refs := make([]structs.TaskRef, 0, len(a.tasks))
+	for _, t := range a.tasks {
+		if t.job.tasks[t.index].state == taskSent {
+			refs = append(refs, structs.TaskRef{Job: t.job.id, Index: t.index})
+		}
+	}
+	p.emit(SendWithdraw{Agent: a.ref, Withdraw: structs.Withdraw{Epoch: p.options.Epoch, Tasks: refs}})
+}
+
+// configure applies a configuration with a higher revision.
+func (p *Pool) configure(config *structs.Configuration) {
+	if config == nil || config.Revision <= p.config.Revision {
+		return
+	}
+	old := p.config
+	p.config = config
+	p.applyService()
+	p.applyTeams(old)
+	for _, a := range p.roster {
+		p.applyZone(a)
+	}
+}
+
+func (p *Pool) applyService() {
+	service, ok := p.config.Services[p.options.Pool.Service]
+	if !ok {
+		service = structs.DefaultServiceConfig()
+	}
+	if service.TaskTimeout <= 0 {
+		service.TaskTimeout = structs.DefaultTaskTimeout
+	}
+	if service.MaxQueuedTasks <= 0 {
+		service.MaxQueuedTasks = structs.DefaultMaxQueuedTasks
+	}
+	p.service = service
+	p.index.SetHeldShare(min(max(service.UrgentReserve, 0), 0.5))
+}
+
+// applyTeams sets the quotas of all teams. The order of the teams has no effect on the queue.
+func (p *Pool) applyTeams(old *structs.Configuration) {
+	for name := range old.Teams {
+		if _, ok := p.config.Teams[name]; !ok {
+			p.queue.SetQuota(name, fairqueueQuota(structs.TeamConfig{}))
+		}
+	}
+	for name, team := range p.config.Teams {
+		p.queue.SetQuota(name, fairqueueQuota(team))
+	}
+}
+
+// applyZone moves the queued tasks of a server that the configuration takes out, and ramps one up that returns.
+func (p *Pool) applyZone(a *agent) {
+	allowed := p.config.ServerAllows(p.options.Pool.Service, a.update.Zone, a.ref.ID)
+	if allowed == a.allowed {
+		return
+	}
+	a.allowed = allowed
+	p.refreshAgent(a, allowed)
+	if !allowed {
+		p.withdrawQueued(a)
+	}
+}
+
+// state says in a few words why the agent gets or gets no work.
+func (p *Pool) state(a *agent) string {
+	var reasons []string
+	add := func(condition bool, reason string) {
+		if condition {
+			reasons = append(reasons, reason)
+		}
+	}
+	add(!a.seen, "not linked")
+	add(a.update.Leaving, "leaving")
+	add(a.seen && !a.update.Eligible, "not in the roster or epoch not promised")
+	add(!p.config.ZoneAllows(p.options.Pool.Service, a.update.Zone), "zone out")
+	add(p.config.Servers[string(a.ref.ID)].State == structs.ServerDraining, "draining")
+	add(a.server.Open(), "last tasks failed, probing")
+	add(a.server.Paused(p.now), "paused after a refusal")
+	add(a.server.Ramping(), "ramping up")
+	if len(reasons) == 0 {
+		return "active"
+	}
+	return strings.Join(reasons, "; ")
+}
+
+// Agents returns the state of all agents in the order of their arrival.
+func (p *Pool) Agents() []AgentStatus {
+	list := make([]AgentStatus, 0, len(p.roster))
+	for _, a := range p.roster {
+		running := min(a.server.Inflight(), a.server.Slots())
+		list = append(list, AgentStatus{
+			Agent:    a.ref,
+			Zone:     a.update.Zone,
+			Server:   a.update.Server,
+			Slots:    a.server.Slots(),
+			Running:  running,
+			Queued:   a.server.Inflight() - running,
+			Eligible: a.update.Eligible,
+			Leaving:  a.update.Leaving,
+			Speed:    a.server.Speed(),
+			State:    p.state(a),
+		})
+	}
+	return list
+}
--- a/internal/dispatch/api.go
+++ b/internal/dispatch/api.go
@@ -47,6 +47,9 @@
 	Connections int
 	Leaving     bool
 	Eligible    bool
+	// Relinked is true if the link was established anew, so that messages under way may have been lost. The pool
+	// then asks the agent for the results of all tasks in flight.
+	Relinked bool
 }
 
 // AgentLost reports that an agent has been silent for LostAfter or that a new incarnation has replaced it.
@@ -91,10 +94,18 @@
 	Doubt   bool
 	Journal []JournalEntry
 	Records []AgentRecords
+	// RecentOnce lists keys of entries in Journal that are not repeatable and were written so recently that the
+	// agents' start records of them cannot have ended. The journal entries of such jobs outlive the start records,
+	// so a missing record proves nothing for the keys that are not listed.
+	RecentOnce []structs.KeyHash
 }
 
-// Restore ends a planned handover with the previous owner's snapshot.
-type Restore struct{ Jobs []structs.HandoffJob }
+// Restore ends a planned handover with the previous owner's snapshot and the agents' answers to the fence, which
+// tell the running tasks from those dropped by the promise.
+type Restore struct {
+	Jobs       []structs.HandoffJob
+	Collection Adopt
+}
 
 // AgentRecords holds the fence reply of one agent.
 type AgentRecords struct {
--- /dev/null
+++ b/internal/dispatch/end.go
@@ -0,0 +1,266 @@
+package dispatch
+
+import (
+	"time"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// completeIfDone ends a job whose tasks have all finished.
+func (p *Pool) completeIfDone(j *job) {
+	if j.state == jobEnded || j.count == 0 || j.finished < j.count {
+		return
+	}
+	if j.finished > j.count || len(j.results) != j.count {
+		panic("dispatch: partial answer of job " + j.id.String())
+	}
+	for i := range j.tasks {
+		if j.tasks[i].state != taskFinished || j.results[i] == nil {
+			panic("dispatch: partial answer of job " + j.id.String())
+		}
+	}
+	p.finish(j, &structs.Answer{Job: j.id, Outcome: structs.OutcomeComplete, Results: j.results})
+}
+
+// outcomeNow returns the outcome of a job that ends at present without completing.
+func (p *Pool) outcomeNow(j *job) structs.Outcome {
+	switch {
+	case j.sent > 0:
+		return structs.OutcomeMayHaveRun
+	case j.started() > 0:
+		return structs.OutcomeFailed
+	case !j.proven || p.mode == Suspended:
+		// While the owner is suspended, another one may have taken over and run the job under the same key.
+		return structs.OutcomeMayHaveRun
+	}
+	return structs.OutcomeNotRun
+}
+
+// endJob ends a job that did not complete: queued tasks are dropped and running ones aborted.
+func (p *Pool) endJob(j *job, code structs.Code, outcome structs.Outcome, detail string) {
+	if outcome == structs.OutcomeNotRun && j.started() > 0 {
+		panic("dispatch: not_run claimed for started job " + j.id.String())
+	}
+	p.finish(j, &structs.Answer{Job: j.id, Outcome: outcome, Problem: problemOf(code, outcome, detail)})
+}
+
+// endUnproven ends a job with a task that may have run under the previous owner without a record.
+func (p *Pool) endUnproven(j *job) {
+	p.endJob(j, structs.CodeOwnerLost, structs.OutcomeMayHaveRun, "the previous owner was lost and not all agents could be asked")
+}
+
+// finish makes the answer known and drops everything else of the job.
+func (p *Pool) finish(j *job, answer *structs.Answer) {
+	if j.state == jobEnded {
+		panic("dispatch: job " + j.id.String() + " ended twice")
+	}
+	p.clear(j)
+	j.state, j.answer = jobEnded, answer
+	for _, result := range answer.Results {
+		j.resultBytes += len(result)
+	}
+	p.unlist(j)
+	p.retain(j)
+	if len(j.waiters) > 0 {
+		p.emit(Finish{Answer: answer, Waiters: j.waiters})
+	}
+	p.dropWaiters(j)
+}
+
+// finishGone ends a job that has completed and whose results are lost.
+func (p *Pool) finishGone(j *job) {
+	p.clear(j)
+	j.state, j.resultsGone = jobEnded, true
+	p.unlist(j)
+	p.retain(j)
+	for _, waiter := range j.waiters {
+		p.reply(j, waiter)
+	}
+	p.dropWaiters(j)
+}
+
+func (p *Pool) dropWaiters(j *job) {
+	for _, waiter := range j.waiters {
+		delete(p.waiters, waiter)
+	}
+	j.waiters = nil
+}
+
+// clear takes a job's tasks out of the queue and from the agents, with one cancel per agent. The places count as free
+// at once, since an agent aborts a cancelled task before it reads the next start.
+func (p *Pool) clear(j *job) {
+	if j.entry != nil {
+		p.countWaiting(j, -j.waiting)
+		p.queue.Drop(j.entry)
+	}
+	for i := range j.tasks {
+		if j.sent == 0 && j.recorded == 0 {
+			break
+		}
+		p.clearTask(j, uint32(i))
+	}
+	j.entry, j.kind, j.tasks, j.results = nil, nil, nil, nil
+	j.returned, j.excluded, j.records = nil, nil, nil
+	if j.sub != nil {
+		light := *j.sub
+		light.Payloads = nil
+		j.sub = &light
+	}
+}
+
+func (p *Pool) clearTask(j *job, index uint32) {
+	t := &j.tasks[index]
+	a := t.agent
+	switch t.state {
+	case taskRecorded:
+		p.detach(j, index)
+	case taskSent:
+		p.detach(j, index)
+		if j.entry != nil {
+			p.queue.Done(j.entry)
+		}
+		if a.mark != j.sequence && !a.lost {
+			a.mark = j.sequence
+			p.emit(SendCancel{Agent: a.ref, Cancel: structs.Cancel{Epoch: p.options.Epoch, Job: j.id}})
+		}
+	default:
+	}
+}
+
+// expire ends jobs whose deadline is over and does the periodic checks.
+func (p *Pool) expire() {
+	for len(p.timers) > 0 && p.timers[0].due <= p.now {
+		p.expireJob(p.timers[0])
+	}
+	if p.now < p.housekeepingAt {
+		return
+	}
+	p.housekeepingAt = p.now + housekeepingInterval
+	p.forget()
+	p.unpark()
+	p.urgentShare.roll(p.now)
+	p.expireUnseen()
+	p.expireUnserved()
+}
+
+func (p *Pool) expireJob(j *job) {
+	switch {
+	case j.state == jobLive:
+		p.endJob(j, structs.CodeDeadline, p.outcomeNow(j), "the deadline has passed")
+	case len(j.waiters) > 0:
+		p.endJob(j, structs.CodeOwnerLost, p.outcomeNow(j), "the previous owner was lost and the job was not submitted again")
+	default:
+		p.clear(j)
+		p.unlist(j)
+		delete(p.jobs, j.id.Key)
+	}
+}
+
+// expireUnserved ends waiting jobs when no server has been eligible for NoServerLimit.
+func (p *Pool) expireUnserved() {
+	if p.index.Serving() > 0 || !p.mayStart() || p.now < p.noServerSince+NoServerLimit {
+		return
+	}
+	for j := p.live.first; j != nil && j.admitted+NoServerLimit <= p.now; {
+		next := j.next
+		if j.state == jobLive && j.waiting > 0 {
+			p.endJob(j, structs.CodeNoServer, p.outcomeNow(j), "no server was eligible for "+NoServerLimit.String())
+		}
+		j = next
+	}
+}
+
+// expireUnseen counts agents as lost that have start records and have not been linked since the takeover.
+func (p *Pool) expireUnseen() {
+	if p.unseenBy == 0 || p.now < p.unseenBy {
+		return
+	}
+	p.unseenBy = 0
+	var unseen []structs.AgentRef
+	for _, a := range p.roster {
+		if !a.seen {
+			unseen = append(unseen, a.ref)
+		}
+	}
+	for _, ref := range unseen {
+		p.loseAgent(ref)
+	}
+}
+
+// statusOf describes a job with the reason why it waits or how it ended.
+func (p *Pool) statusOf(j *job) structs.JobStatus {
+	status := j.status(p.now)
+	status.Reason = p.reason(j)
+	return status
+}
+
+func (p *Pool) reason(j *job) string {
+	switch {
+	case j.resultsGone:
+		return "completed; the results are no longer kept"
+	case j.answer != nil && j.answer.Problem != nil:
+		return j.answer.Problem.Detail
+	case j.answer != nil:
+		return "completed"
+	case j.state == jobBodiless:
+		return "adopted from the previous owner; waits for the caller to submit it again"
+	case p.mode == Suspended:
+		return "the owner is suspended: it has no contact to the store and to most agents"
+	case j.waiting == 0 && j.recorded > 0:
+		return "results of the previous owner's tasks are being fetched"
+	case j.waiting == 0:
+		return "all tasks are running or finished"
+	case j.awaiting:
+		return "waits for the journal entry of its key"
+	case p.index.Serving() == 0:
+		return "no server is eligible"
+	case j.parked:
+		return "each free server has refused or returned the remaining tasks"
+	case p.queue.Blocked(j.entry):
+		return "the team is at its limit of running tasks"
+	}
+	return "waits for a free slot"
+}
+
+// Status returns the state of a job. ok is false if the job is not known.
+func (p *Pool) Status(id structs.JobID, now time.Duration) (status structs.JobStatus, ok bool) {
+	j, ok := p.jobs[id.Key]
+	if !ok || j.id != id {
+		return structs.JobStatus{}, false
+	}
+	status = p.statusOf(j)
+	status.Age = max(now, p.now) - j.admitted
+	return status, true
+}
+
+// Jobs returns the state of at most limit jobs that have not ended, oldest first.
+func (p *Pool) Jobs(now time.Duration, limit int) []structs.JobStatus {
+	list := make([]structs.JobStatus, 0, min(limit, p.live.length))
+	for j := p.live.first; j != nil && len(list) < limit; j = j.next {
+		status := p.statusOf(j)
+		status.Age = max(now, p.now) - j.admitted
+		list = append(list, status)
+	}
+	return list
+}
+
+// Stats returns the counters and the present load.
+func (p *Pool) Stats() Stats {
+	stats := p.stats
+	stats.Jobs = p.live.length
+	stats.QueuedUrgent = p.waiting[structs.Urgent]
+	stats.QueuedRoutine = p.waiting[structs.Routine]
+	stats.Running = p.running
+	stats.Slots = p.index.Slots()
+	stats.ExpectedUrgent = p.expectedWait(structs.Urgent)
+	stats.ExpectedRoutine = p.expectedWait(structs.Routine)
+	return stats
+}
+
+func (p *Pool) expectedWait(class structs.Priority) time.Duration {
+	capacity := p.capacity(class)
+	if capacity == 0 {
+		return 0
+	}
+	return time.Duration(float64(p.expectedWork(class)) / capacity)
+}
--- /dev/null
+++ b/internal/dispatch/events.go
@@ -0,0 +1,128 @@
+package dispatch
+
+import (
+	"slices"
+
+	"rosedrift.example/rosedrift/internal/placement"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// handleEvents applies the task events of an agent. Events that do not fit the state are ignored and counted.
+func (p *Pool) handleEvents(in Events) {
+	a, ok := p.agents[in.Agent]
+	if !ok {
+		p.stats.LateEvents += uint64(len(in.Events))
+		return
+	}
+	for i := range in.Events {
+		p.handleEvent(a, &in.Events[i])
+	}
+}
+
+func (p *Pool) handleEvent(a *agent, event *structs.TaskEvent) {
+	j := p.jobs[event.Task.Job.Key]
+	index := event.Task.Index
+	if j == nil || j.id != event.Task.Job || j.state == jobEnded {
+		p.late(event)
+		return
+	}
+	if int(index) >= len(j.tasks) || j.tasks[index].agent != a {
+		p.late(event)
+		return
+	}
+	switch event.Kind {
+	case structs.TaskFinished:
+		p.finished(j, a, event)
+	case structs.TaskFailed:
+		p.failed(j, a, event)
+	case structs.TaskRefused, structs.TaskWithdrawn:
+		p.returnTask(j, a, event)
+	case structs.TaskAborted:
+		p.aborted(j, event)
+	case structs.TaskNotWithdrawn:
+	default:
+		p.late(event)
+	}
+}
+
+// late counts an ignored event. The answers to the pool's own cancels are expected and do not count.
+func (p *Pool) late(event *structs.TaskEvent) {
+	switch event.Kind {
+	case structs.TaskAborted, structs.TaskWithdrawn, structs.TaskNotWithdrawn:
+	default:
+		p.stats.LateEvents++
+	}
+}
+
+func (p *Pool) finished(j *job, a *agent, event *structs.TaskEvent) {
+	index := event.Task.Index
+	if event.Error != "" {
+		// The agent has the record of the end but not the result.
+		p.endTask(j, index)
+		p.endJob(j, structs.CodeResultGone, p.outcomeNow(j), "a task's result was dropped: "+event.Error)
+		return
+	}
+	wasSent := j.tasks[index].state == taskSent
+	p.endTask(j, index)
+	j.results = growResults(j.results, len(j.tasks))
+	j.results[index] = event.Result
+	if event.Result == nil {
+		// A nil result means "no result yet" in snapshots.
+		j.results[index] = []byte{}
+	}
+	p.stats.Finished++
+	if wasSent && j.kind != nil {
+		p.index.Finished(a.server, j.kind, event.RunTime)
+	}
+	p.completeIfDone(j)
+}
+
+// endTask marks a task as ended and frees its place.
+func (p *Pool) endTask(j *job, index uint32) {
+	wasSent := j.tasks[index].state == taskSent
+	p.detach(j, index)
+	j.tasks[index].state = taskFinished
+	j.finished++
+	if wasSent && j.entry != nil {
+		p.queue.Done(j.entry)
+	}
+}
+
+func (p *Pool) failed(j *job, a *agent, event *structs.TaskEvent) {
+	p.stats.Failed++
+	p.endTask(j, event.Task.Index)
+	p.index.Failed(a.server, j.sequence)
+	p.endJob(j, structs.CodeTaskFailed, structs.OutcomeFailed, "a task failed: "+event.Error)
+}
+
+// aborted ends a job whose task was stopped by its agent without a cancel.
+func (p *Pool) aborted(j *job, event *structs.TaskEvent) {
+	p.stats.Failed++
+	p.endTask(j, event.Task.Index)
+	p.endJob(j, structs.CodeTaskFailed, structs.OutcomeFailed, "a task was aborted: "+event.Error)
+}
+
+// returnTask puts a task back that provably has not started. Tasks with a start record cannot be returned.
+func (p *Pool) returnTask(j *job, a *agent, event *structs.TaskEvent) {
+	index := event.Task.Index
+	if j.tasks[index].state != taskSent || j.entry == nil {
+		p.late(event)
+		return
+	}
+	p.detach(j, index)
+	j.tasks[index].state, j.tasks[index].resent = taskWaiting, true
+	if j.excluded == nil {
+		j.excluded = make(map[uint32][]*placement.Server)
+	}
+	j.excluded[index] = append(j.excluded[index], a.server)
+	j.returned = append(j.returned, index)
+	slices.Sort(j.returned)
+	p.countWaiting(j, 1)
+	p.queue.Return(j.entry, j.kind.Mean())
+	if event.Kind == structs.TaskRefused {
+		p.stats.Refused++
+		p.index.Refused(a.server)
+		return
+	}
+	p.stats.Withdrawn++
+}
--- /dev/null
+++ b/internal/dispatch/job.go
@@ -0,0 +1,295 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+
+	"rosedrift.example/rosedrift/internal/fairqueue"
+	"rosedrift.example/rosedrift/internal/placement"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+type jobState uint8
+
+const (
+	// jobBodiless is a job of an earlier owner whose submission this owner has not seen.
+	jobBodiless jobState = iota
+	// jobLive has its submission and has not ended.
+	jobLive
+	// jobEnded has an answer.
+	jobEnded
+)
+
+type taskState uint8
+
+const (
+	taskWaiting taskState = iota
+	// taskSent is at an agent and may have started.
+	taskSent
+	// taskRecorded has ended at an agent, which holds the result.
+	taskRecorded
+	// taskFinished has its result here.
+	taskFinished
+)
+
+// task is one task of a live job. agent and position are set while the task is sent or recorded.
+type task struct {
+	agent    *agent
+	position int32
+	state    taskState
+	// resent is set once the task has been returned by an agent.
+	resent bool
+}
+
+// job is one submission.
+type job struct {
+	id       structs.JobID
+	sequence uint64
+	state    jobState
+	// sub has no payloads once the job has ended. It is nil in state jobBodiless.
+	sub    *structs.Submission
+	digest [structs.KeySize]byte
+	// hasDigest is false for keys known from start records alone.
+	hasDigest  bool
+	repeatable bool
+	// journaled says that the key is in the store, inQueueHold that the job waits for that.
+	journaled bool
+	awaiting  bool
+	parked    bool
+	// count is the number of tasks, 0 if unknown.
+	count int
+	// proven says that tasks without a start record have not started, so that they may start.
+	proven bool
+
+	tasks    []task
+	results  [][]byte
+	fresh    uint32
+	returned []uint32
+	// excluded lists the servers that have returned a task. Events carry no attempt number, so a late duplicate of
+	// such an event would pass for the answer to a second start at the same agent.
+	excluded map[uint32][]*placement.Server
+
+	waiting, sent, recorded, finished int
+
+	// records are the start records found at a takeover until they are needed.
+	records []record
+
+	kind     *placement.Kind
+	entry    *fairqueue.Entry[*job]
+	waiters  []WaiterID
+	admitted time.Duration
+	// due is the deadline of a live job and the end of retention of a bodiless one.
+	due   time.Duration
+	timer int
+
+	endedAt     time.Duration
+	answer      *structs.Answer
+	resultBytes int
+	resultsGone bool
+	reason      string
+
+	previous, next *job
+}
+
+// record is one start record of an earlier epoch.
+type record struct {
+	agent *agent
+	index uint32
+	state structs.RecordState
+}
+
+// started returns the number of tasks that have started or may have started.
+func (j *job) started() int { return j.sent + j.recorded + j.finished }
+
+func (j *job) priority() structs.Priority {
+	if j.sub == nil {
+		return structs.Routine
+	}
+	return j.sub.Priority
+}
+
+func (j *job) status(now time.Duration) structs.JobStatus {
+	status := structs.JobStatus{
+		Job:      j.id,
+		Tasks:    j.count,
+		Queued:   j.waiting,
+		Running:  j.sent,
+		Finished: j.finished + j.recorded,
+		Age:      now - j.admitted,
+	}
+	if j.sub != nil {
+		status.Team, status.Priority = j.sub.Team, j.sub.Priority
+	}
+	if j.answer != nil {
+		status.Outcome = j.answer.Outcome
+	} else if j.resultsGone {
+		status.Outcome = structs.OutcomeComplete
+	}
+	return status
+}
+
+// jobList holds the jobs that have not ended in the order of admission.
+type jobList struct {
+	first, last *job
+	length      int
+}
+
+func (l *jobList) add(j *job) {
+	j.previous = l.last
+	if l.last != nil {
+		l.last.next = j
+	} else {
+		l.first = j
+	}
+	l.last = j
+	l.length++
+}
+
+func (l *jobList) remove(j *job) {
+	if j.previous != nil {
+		j.previous.next = j.next
+	} else {
+		l.first = j.next
+	}
+	if j.next != nil {
+		j.next.previous = j.previous
+	} else {
+		l.last = j.previous
+	}
+	j.previous, j.next = nil, nil
+	l.length--
+}
+
+// timerHeap orders the jobs that have not ended by due time.
+type timerHeap []*job
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, k int) bool {
+	if h[i].due != h[k].due {
+		return h[i].due < h[k].due
+	}
+	return h[i].sequence < h[k].sequence
+}
+func (h timerHeap) Swap(i, k int) {
+	h[i], h[k] = h[k], h[i]
+	h[i].timer, h[k].timer = i, k
+}
+
+// Push implements heap.Interface.
+func (h *timerHeap) Push(x any) {
+	j := x.(*job)
+	j.timer = len(*h)
+	*h = append(*h, j)
+}
+
+// Pop implements heap.Interface.
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	j := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return j
+}
+
+// addJob makes a key known.
+func (p *Pool) addJob(j *job, due time.Duration) {
+	if p.jobs[j.id.Key] != nil {
+		panic("dispatch: job " + j.id.String() + " admitted twice")
+	}
+	p.sequence++
+	j.sequence = p.sequence
+	j.admitted = p.now
+	j.due = due
+	p.jobs[j.id.Key] = j
+	p.live.add(j)
+	heap.Push(&p.timers, j)
+}
+
+func (p *Pool) setDue(j *job, due time.Duration) {
+	j.due = due
+	heap.Fix(&p.timers, j.timer)
+}
+
+// unlist takes a job from the list and the timers of jobs that have not ended.
+func (p *Pool) unlist(j *job) {
+	p.live.remove(j)
+	heap.Remove(&p.timers, j.timer)
+}
+
+// endedJobs keeps ended jobs for their retention period and bounds the bytes of their results.
+type endedJobs struct {
+	repeatable, once, withResults jobRing
+	bytes                         int
+}
+
+// jobRing is a first-in first-out queue of jobs.
+type jobRing struct {
+	jobs []*job
+	head int
+}
+
+func (r *jobRing) push(j *job) { r.jobs = append(r.jobs, j) }
+
+func (r *jobRing) peek() *job {
+	if r.head == len(r.jobs) {
+		return nil
+	}
+	return r.jobs[r.head]
+}
+
+func (r *jobRing) pop() {
+	r.jobs[r.head] = nil
+	r.head++
+	if 2*r.head > len(r.jobs) {
+		r.jobs = append([]*job(nil), r.jobs[r.head:]...)
+		r.head = 0
+	}
+}
+
+func (r *jobRing) length() int { return len(r.jobs) - r.head }
+
+// retain keeps an ended job and drops the oldest results beyond the bound.
+func (p *Pool) retain(j *job) {
+	j.endedAt = p.now
+	if j.repeatable {
+		p.ended.repeatable.push(j)
+	} else {
+		p.ended.once.push(j)
+	}
+	if j.resultBytes == 0 {
+		return
+	}
+	p.ended.withResults.push(j)
+	p.ended.bytes += j.resultBytes
+	for p.ended.bytes > MaxResultBytes {
+		p.dropResults(p.ended.withResults.peek())
+		p.ended.withResults.pop()
+	}
+}
+
+// dropResults forgets the results of an ended job but not that it completed.
+func (p *Pool) dropResults(j *job) {
+	if j.resultsGone || j.answer == nil {
+		return
+	}
+	p.ended.bytes -= j.resultBytes
+	j.answer = nil
+	j.resultsGone = true
+}
+
+// forget ends the retention of jobs whose time has come.
+func (p *Pool) forget() {
+	p.forgetRing(&p.ended.repeatable, p.options.Retention)
+	p.forgetRing(&p.ended.once, p.options.RetentionOnce)
+	for j := p.ended.withResults.peek(); j != nil && p.now >= j.endedAt+p.options.Retention; j = p.ended.withResults.peek() {
+		p.dropResults(j)
+		p.ended.withResults.pop()
+	}
+}
+
+func (p *Pool) forgetRing(r *jobRing, retention time.Duration) {
+	for j := r.peek(); j != nil && p.now >= j.endedAt+retention; j = r.peek() {
+		delete(p.jobs, j.id.Key)
+		r.pop()
+	}
+}
--- /dev/null
+++ b/internal/dispatch/start.go
@@ -0,0 +1,267 @@
+package dispatch
+
+import (
+	"time"
+
+	"rosedrift.example/rosedrift/internal/fairqueue"
+	"rosedrift.example/rosedrift/internal/placement"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// prefetchMean is the longest mean run time of a kind whose tasks are sent to servers without a free slot. Prefetch
+// hides the round trip of about 1 ms, which costs longer tasks less than 1% of the capacity.
+const prefetchMean = 100 * time.Millisecond
+
+// dispatch starts tasks while there are waiting tasks and servers for them.
+func (p *Pool) dispatch() {
+	if !p.mayStart() {
+		return
+	}
+	p.index.Settle()
+	for p.startNext() {
+	}
+}
+
+func (p *Pool) startNext() bool {
+	if p.queue.RoutineDue() {
+		return p.startClass(structs.Routine) || p.startClass(structs.Urgent)
+	}
+	return p.startClass(structs.Urgent) || p.startClass(structs.Routine)
+}
+
+// startClass starts or parks the next task of a class. It returns false if there is none or no server for it.
+func (p *Pool) startClass(class structs.Priority) bool {
+	entry := p.queue.Peek(class)
+	if entry == nil {
+		return false
+	}
+	j := entry.Value
+	if len(j.returned) > 0 && p.startReturned(j) {
+		return true
+	}
+	if j.waiting == len(j.returned) {
+		return p.park(j)
+	}
+	a := p.choose(j, nil)
+	if a == nil {
+		return false
+	}
+	p.start(j, j.nextFresh(), a)
+	return true
+}
+
+// startReturned starts a task that a server has returned, at another one.
+func (p *Pool) startReturned(j *job) bool {
+	index := j.returned[0]
+	j.returned = j.returned[1:]
+	a := p.choose(j, j.excluded[index])
+	if a == nil {
+		j.returned = append(j.returned, index)
+		return false
+	}
+	p.start(j, index, a)
+	return true
+}
+
+// park takes a job out of the queue for a moment if each server that could take its tasks has returned them before.
+func (p *Pool) park(j *job) bool {
+	if p.choose(j, nil) == nil {
+		return false
+	}
+	j.parked = true
+	p.parked = append(p.parked, j)
+	p.queue.Hold(j.entry)
+	return true
+}
+
+func (p *Pool) unpark() {
+	for _, j := range p.parked {
+		j.parked = false
+		if j.state == jobLive && !j.awaiting {
+			p.queue.Release(j.entry)
+		}
+	}
+	clear(p.parked)
+	p.parked = p.parked[:0]
+}
+
+// nextFresh returns the next task that has never been sent.
+func (j *job) nextFresh() uint32 {
+	for j.tasks[j.fresh].state != taskWaiting || j.tasks[j.fresh].resent {
+		j.fresh++
+	}
+	return j.fresh
+}
+
+// choose returns the agent for a task of the job, or nil.
+func (p *Pool) choose(j *job, excluded []*placement.Server) *agent {
+	var s *placement.Server
+	switch p.options.Policy {
+	case PolicyRandom:
+		s = p.index.Random(excluded)
+	case PolicyFIFO:
+		s = p.index.Next(excluded)
+	default:
+		s = p.chooseFastest(j, excluded)
+	}
+	if s == nil {
+		return nil
+	}
+	return s.Value.(*agent)
+}
+
+func (p *Pool) chooseFastest(j *job, excluded []*placement.Server) *placement.Server {
+	if j.sub.Priority == structs.Urgent {
+		if s := p.index.Fastest(j.kind, placement.AnySlot, excluded); s != nil {
+			return s
+		}
+		return p.index.Fastest(j.kind, placement.OvertakePlace, excluded)
+	}
+	mean := j.kind.Mean()
+	need := placement.BulkSlot
+	if mean <= placement.ShortRoutine || p.queue.RoutineDue() {
+		need = placement.AnySlot
+	}
+	if s := p.index.Fastest(j.kind, need, excluded); s != nil {
+		return s
+	}
+	if mean > prefetchMean || p.queue.Peek(structs.Urgent) != nil {
+		return nil
+	}
+	return p.index.Fastest(j.kind, placement.QueuePlace, excluded)
+}
+
+// start sends a task to an agent.
+func (p *Pool) start(j *job, index uint32, a *agent) {
+	t := &j.tasks[index]
+	if t.state != taskWaiting || j.state != jobLive {
+		panic("dispatch: second start of a task of job " + j.id.String())
+	}
+	cost := j.kind.Mean()
+	p.queue.Take(j.entry, cost)
+	p.countWaiting(j, -1)
+	if j.sub.Priority == structs.Urgent {
+		p.urgentShare.add(cost)
+	}
+	p.attach(j, index, a, taskSent)
+	p.index.Reserve(a.server)
+	p.stats.Started++
+	if len(a.pending) == 0 {
+		p.touched = append(p.touched, a)
+	}
+	a.pendingUrgent = a.pendingUrgent || j.sub.Priority == structs.Urgent
+	a.pending = append(a.pending, structs.TaskStart{
+		Task:     structs.TaskRef{Job: j.id, Index: index},
+		Priority: j.sub.Priority,
+		Kind:     j.sub.Kind,
+		Timeout:  min(p.service.TaskTimeout, j.due-p.now),
+		Payload:  j.sub.Payloads[index],
+	})
+}
+
+// attach puts a task into the list of an agent.
+func (p *Pool) attach(j *job, index uint32, a *agent, state taskState) {
+	t := &j.tasks[index]
+	t.state, t.agent, t.position = state, a, int32(len(a.tasks))
+	a.tasks = append(a.tasks, agentTask{job: j, index: index})
+	if state == taskSent {
+		j.sent++
+		p.running++
+	} else {
+		j.recorded++
+	}
+}
+
+// detach takes a task out of the list of its agent and frees its place. The caller sets the new state.
+func (p *Pool) detach(j *job, index uint32) {
+	t := &j.tasks[index]
+	a := t.agent
+	if a != nil {
+		last := len(a.tasks) - 1
+		moved := a.tasks[last]
+		a.tasks[t.position] = moved
+		moved.job.tasks[moved.index].position = t.position
+		a.tasks[last] = agentTask{}
+		a.tasks = a.tasks[:last]
+	}
+	t.agent = nil
+	if t.state == taskRecorded {
+		j.recorded--
+		return
+	}
+	j.sent--
+	p.running--
+	p.index.Release(a.server)
+	if j.sent < 0 || p.running < 0 {
+		panic("dispatch: fewer than 0 tasks of job " + j.id.String() + " at agents")
+	}
+}
+
+// expectedWork returns the run time of the waiting work that is served before new work of the class.
+func (p *Pool) expectedWork(class structs.Priority) time.Duration {
+	var work time.Duration
+	for _, k := range p.index.Kinds() {
+		waiting := k.Waiting[structs.Urgent]
+		if class == structs.Routine {
+			waiting += k.Waiting[structs.Routine]
+		}
+		work += time.Duration(waiting) * k.Mean()
+	}
+	return work
+}
+
+// capacity returns the number of slots that serve a class.
+func (p *Pool) capacity(class structs.Priority) float64 {
+	slots := float64(p.index.Slots())
+	if class == structs.Urgent {
+		return slots
+	}
+	return slots * max(1-p.urgentShare.share(slots), fairqueue.RoutineShare)
+}
+
+// expectedEnd returns the expected time until a new submission has ended. It is 0 if there is no work ahead, so that
+// a wrong estimate cannot keep a kind from being tried, and without servers, which has a limit of its own.
+func (p *Pool) expectedEnd(sub *structs.Submission) time.Duration {
+	ahead := p.expectedWork(sub.Priority)
+	capacity := p.capacity(sub.Priority)
+	if ahead == 0 || capacity == 0 {
+		return 0
+	}
+	mean := p.index.Kind(sub.Kind, sub.DeclaredTime).Mean()
+	own := time.Duration(len(sub.Payloads)) * mean
+	return time.Duration(float64(ahead+own)/capacity) + mean
+}
+
+// loadMeter measures the work started per second in windows of meterWindow.
+type loadMeter struct {
+	from    time.Duration
+	work    time.Duration
+	average float64
+}
+
+const (
+	meterWindow = time.Second
+	// meterWeight is the weight of the newest window in the average.
+	meterWeight = 0.3
+)
+
+func (m *loadMeter) add(work time.Duration) { m.work += work }
+
+// roll closes the window when its time is over.
+func (m *loadMeter) roll(now time.Duration) {
+	elapsed := now - m.from
+	if elapsed < meterWindow {
+		return
+	}
+	rate := float64(m.work) / float64(elapsed)
+	m.average += meterWeight * (rate - m.average)
+	m.from, m.work = now, 0
+}
+
+// share returns the part of the slots that the metered work takes.
+func (m *loadMeter) share(slots float64) float64 {
+	if slots == 0 {
+		return 0
+	}
+	return min(m.average/slots, 1)
+}
--- /dev/null
+++ b/internal/dispatch/submit.go
@@ -0,0 +1,336 @@
+package dispatch
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"rosedrift.example/rosedrift/internal/fairqueue"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Admission control.
+const (
+	// admissionMargin is the share of the deadline that the expected time to the answer may take. The rest covers
+	// the error of the estimate, since work that ends after its deadline is wasted.
+	admissionMargin = 0.8
+	// maxRetryAfter bounds the advice to a refused caller.
+	maxRetryAfter = time.Minute
+)
+
+var statusOfCode = map[structs.Code]int{
+	structs.CodeBadRequest:    http.StatusBadRequest,
+	structs.CodeNotFound:      http.StatusNotFound,
+	structs.CodeKeyReused:     http.StatusConflict,
+	structs.CodeTicketExpired: http.StatusGone,
+	structs.CodeInDoubt:       http.StatusConflict,
+	structs.CodeQuotaExceeded: http.StatusTooManyRequests,
+	structs.CodeOverloaded:    http.StatusServiceUnavailable,
+	structs.CodeUnavailable:   http.StatusServiceUnavailable,
+	structs.CodeNoServer:      http.StatusServiceUnavailable,
+	structs.CodeDeadline:      http.StatusGatewayTimeout,
+	structs.CodeCancelled:     http.StatusConflict,
+	structs.CodeTaskFailed:    http.StatusBadGateway,
+	structs.CodeServerLost:    http.StatusBadGateway,
+	structs.CodeOwnerLost:     http.StatusServiceUnavailable,
+	structs.CodeResultGone:    http.StatusGone,
+}
+
+func problemOf(code structs.Code, outcome structs.Outcome, detail string) *structs.Problem {
+	return &structs.Problem{Code: code, Outcome: outcome, Status: statusOfCode[code], Detail: detail}
+}
+
+func fairqueueQuota(team structs.TeamConfig) fairqueue.Quota {
+	weight := team.Weight
+	if weight <= 0 {
+		weight = structs.DefaultTeamWeight
+	}
+	return fairqueue.Quota{Weight: weight, MaxRunning: team.MaxRunning, MaxQueued: team.MaxQueued}
+}
+
+func (p *Pool) submit(in Submit) {
+	sub := in.Submission
+	if j, ok := p.jobs[sub.Job.Key]; ok {
+		p.resubmit(j, in)
+		return
+	}
+	if problem := p.refusal(sub); problem != nil {
+		p.refuse(in.Waiter, problem)
+		return
+	}
+	j := &job{id: sub.Job, proven: true}
+	p.addJob(j, p.now+p.deadline(sub))
+	p.giveBody(j, sub)
+	p.addWaiter(j, in.Waiter)
+	p.accept(j, in.Waiter)
+}
+
+func (p *Pool) accept(j *job, waiter WaiterID) {
+	p.emit(Accepted{Waiter: waiter, Status: p.statusOf(j)})
+}
+
+// resubmit handles a submission whose key is known.
+func (p *Pool) resubmit(j *job, in Submit) {
+	if p.isOtherBody(j, in.Submission) {
+		detail := "the key was used before with another body"
+		p.refuse(in.Waiter, problemOf(structs.CodeKeyReused, structs.OutcomeNotRun, detail))
+		return
+	}
+	if j.state == jobEnded {
+		p.reply(j, in.Waiter)
+		return
+	}
+	p.addWaiter(j, in.Waiter)
+	p.accept(j, in.Waiter)
+	if j.state == jobBodiless {
+		p.setDue(j, p.now+p.deadline(in.Submission))
+		p.materialize(j)
+		p.giveBody(j, in.Submission)
+	}
+}
+
+// isOtherBody compares the digests. Of a key known from start records alone only the highest index is known.
+func (p *Pool) isOtherBody(j *job, sub *structs.Submission) bool {
+	if j.hasDigest {
+		return j.digest != sub.Digest
+	}
+	for _, r := range j.records {
+		if int(r.index) >= len(sub.Payloads) {
+			return true
+		}
+	}
+	return len(j.tasks) > len(sub.Payloads)
+}
+
+func (p *Pool) deadline(sub *structs.Submission) time.Duration {
+	limit := p.config.Limits.MaxDeadline
+	if limit <= 0 {
+		limit = structs.DefaultMaxDeadline
+	}
+	deadline := sub.Deadline
+	if deadline <= 0 {
+		deadline = p.config.Limits.DefaultDeadline
+	}
+	if deadline <= 0 {
+		deadline = structs.DefaultDeadline
+	}
+	return min(deadline, limit)
+}
+
+// refusal returns why a submission with an unknown key cannot be admitted, or nil.
+func (p *Pool) refusal(sub *structs.Submission) *structs.Problem {
+	if sub.Job.Pool != p.options.Pool || len(sub.Payloads) == 0 {
+		return problemOf(structs.CodeBadRequest, structs.OutcomeNotRun, "no tasks, or a job of another pool")
+	}
+	if problem := p.keyRefusal(sub); problem != nil {
+		return problem
+	}
+	if p.mode == Suspended {
+		problem := problemOf(structs.CodeUnavailable, structs.OutcomeNotRun, "the owner has no contact to the store and to most agents")
+		problem.RetryAfter = time.Second
+		return problem
+	}
+	return p.loadRefusal(sub)
+}
+
+// keyRefusal refuses unknown keys that may have run before.
+func (p *Pool) keyRefusal(sub *structs.Submission) *structs.Problem {
+	if !sub.Ticketed {
+		if p.now < p.doubtUntil {
+			return problemOf(structs.CodeInDoubt, structs.OutcomeMayHaveRun, "the previous owner may have run this key without a journal entry")
+		}
+		return nil
+	}
+	switch {
+	case sub.TicketEpoch > p.options.Epoch:
+		return problemOf(structs.CodeOwnerLost, structs.OutcomeMayHaveRun, "the ticket names a later owner of the pool")
+	case sub.TicketEpoch == p.options.Epoch:
+		if issued, ok := ticketTime(sub.TicketUnique); ok && p.now >= issued+p.options.Retention {
+			return problemOf(structs.CodeTicketExpired, structs.OutcomeMayHaveRun, "the ticket is older than the memory of jobs")
+		}
+		return nil
+	case sub.TicketEpoch+1 == p.options.Epoch && p.recentTickets && p.now < p.adoptedAt+p.options.Retention:
+		return nil
+	}
+	return problemOf(structs.CodeTicketExpired, structs.OutcomeMayHaveRun, "the ticket was issued by an earlier owner whose jobs are not all known")
+}
+
+// ticketTime returns the time of issue of a ticket of the pool's own epoch.
+func ticketTime(unique string) (time.Duration, bool) {
+	text, _, _ := strings.Cut(unique, "-")
+	ms, err := strconv.ParseInt(text, 36, 64)
+	if err != nil {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
+// loadRefusal applies quota and admission control. Urgent work is refused only for urgent work ahead of it.
+func (p *Pool) loadRefusal(sub *structs.Submission) *structs.Problem {
+	if p.options.Policy != PolicyDefault {
+		return nil
+	}
+	tasks := len(sub.Payloads)
+	if !p.queue.Fits(sub.Team, tasks) {
+		problem := problemOf(structs.CodeQuotaExceeded, structs.OutcomeNotRun, "team "+sub.Team+" has too many queued tasks")
+		problem.RetryAfter = time.Second
+		return problem
+	}
+	ahead := p.waiting[structs.Urgent]
+	if sub.Priority == structs.Routine {
+		ahead += p.waiting[structs.Routine]
+	}
+	expected, deadline := p.expectedEnd(sub), p.deadline(sub)
+	full := ahead+tasks > p.service.MaxQueuedTasks
+	if !full && float64(expected) <= admissionMargin*float64(deadline) {
+		return nil
+	}
+	problem := problemOf(structs.CodeOverloaded, structs.OutcomeNotRun, "the expected wait of "+expected.Round(time.Millisecond).String()+" exceeds the deadline or the queue is full")
+	problem.RetryAfter = min(max(expected-deadline, time.Second), maxRetryAfter)
+	return problem
+}
+
+// giveBody attaches the submission to a job and queues the tasks that have not started.
+func (p *Pool) giveBody(j *job, sub *structs.Submission) {
+	j.sub, j.state = sub, jobLive
+	j.digest, j.hasDigest = sub.Digest, true
+	j.repeatable = sub.Repeatable
+	j.count = len(sub.Payloads)
+	j.kind = p.index.Kind(sub.Kind, sub.DeclaredTime)
+	j.entry = p.queue.NewEntry(sub.Priority, sub.Team, j.sequence, j)
+	for len(j.tasks) < j.count {
+		j.tasks = append(j.tasks, task{})
+	}
+	j.results = growResults(j.results, j.count)
+	for range j.sent {
+		p.queue.Adopted(j.entry)
+	}
+	missing := j.count - j.started()
+	switch {
+	case missing == 0:
+		p.completeIfDone(j)
+	case !j.proven:
+		p.endUnproven(j)
+	default:
+		p.enqueue(j, missing)
+	}
+}
+
+func growResults(results [][]byte, count int) [][]byte {
+	if len(results) >= count {
+		return results
+	}
+	grown := make([][]byte, count)
+	copy(grown, results)
+	return grown
+}
+
+// enqueue queues tasks of a job, after its key is journaled if that is needed.
+func (p *Pool) enqueue(j *job, tasks int) {
+	if !j.sub.Ticketed && !j.journaled {
+		p.entries = append(p.entries, JournalEntry{
+			Key:        j.id.Key,
+			Digest:     j.digest,
+			Tasks:      uint32(j.count),
+			Repeatable: j.repeatable,
+		})
+		if p.mode != Detached {
+			j.awaiting = true
+			p.queue.Hold(j.entry)
+		}
+	}
+	p.countWaiting(j, tasks)
+	p.queue.Add(j.entry, tasks)
+}
+
+// countWaiting changes the number of waiting tasks of a job and of its class.
+func (p *Pool) countWaiting(j *job, change int) {
+	j.waiting += change
+	p.waiting[j.priority()] += change
+	j.kind.Waiting[j.priority()] += change
+	if j.waiting < 0 {
+		panic("dispatch: job " + j.id.String() + " has fewer than 0 waiting tasks")
+	}
+}
+
+// releaseJob ends the wait for the journal.
+func (p *Pool) releaseJob(j *job) {
+	if !j.awaiting {
+		return
+	}
+	j.awaiting = false
+	if !j.parked {
+		p.queue.Release(j.entry)
+	}
+}
+
+func (p *Pool) addWaiter(j *job, waiter WaiterID) {
+	p.dropWaiter(waiter)
+	p.waiters[waiter] = j
+	j.waiters = append(j.waiters, waiter)
+}
+
+func (p *Pool) dropWaiter(waiter WaiterID) {
+	j, ok := p.waiters[waiter]
+	if !ok {
+		return
+	}
+	delete(p.waiters, waiter)
+	for i, w := range j.waiters {
+		if w == waiter {
+			j.waiters = append(j.waiters[:i], j.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+func (p *Pool) wait(in Wait) {
+	j, ok := p.jobs[in.Job.Key]
+	if !ok {
+		p.refuseUnknown(in.Waiter)
+		return
+	}
+	if j.state == jobEnded {
+		p.reply(j, in.Waiter)
+		return
+	}
+	p.addWaiter(j, in.Waiter)
+	if j.state == jobBodiless {
+		p.materialize(j)
+		p.completeIfDone(j)
+	}
+}
+
+// refuseUnknown does not claim that the job has not run: its retention may have ended.
+func (p *Pool) refuseUnknown(waiter WaiterID) {
+	p.refuse(waiter, problemOf(structs.CodeNotFound, structs.OutcomeMayHaveRun, "the job is not known or its retention has ended"))
+}
+
+func (p *Pool) cancel(in CancelJob) {
+	j, ok := p.jobs[in.Job.Key]
+	if !ok {
+		p.refuseUnknown(in.Waiter)
+		return
+	}
+	if j.state == jobEnded {
+		p.reply(j, in.Waiter)
+		return
+	}
+	p.addWaiter(j, in.Waiter)
+	if j.state == jobBodiless {
+		p.materialize(j)
+	}
+	if j.state != jobEnded {
+		p.endJob(j, structs.CodeCancelled, p.outcomeNow(j), "the job was cancelled")
+	}
+}
+
+// reply answers a request for a job that has ended.
+func (p *Pool) reply(j *job, waiter WaiterID) {
+	if j.resultsGone {
+		p.refuse(waiter, problemOf(structs.CodeResultGone, structs.OutcomeComplete, "the job completed; its results are no longer kept"))
+		return
+	}
+	p.emit(Finish{Answer: j.answer, Waiters: []WaiterID{waiter}})
+}
--- /dev/null
+++ b/internal/fairqueue/queue.go
@@ -0,0 +1,350 @@
+// Package fairqueue orders the waiting tasks of a pool: urgent before routine, weighted fair queueing by virtual
+// time between the teams of a class, and first in first out within a team.
+//
+// A Queue holds one entry per job with a count of waiting tasks, so that its cost grows with the logarithm of the
+// number of waiting jobs and not with the number of tasks. It is deterministic and not safe for concurrent use.
+package fairqueue
+
+import (
+	"container/heap"
+	"time"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// RoutineShare is the share of starts that routine tasks get at least while they wait, so that a lasting urgent
+// load does not starve them.
+const RoutineShare = 0.05
+
+const (
+	// maxCredit bounds the starts that routine work can claim after it could not be placed for a while.
+	maxCredit = 2.0
+	// minCost keeps the virtual time of a team moving when the estimated run time of a kind is near zero.
+	minCost = time.Millisecond
+	// sweepTeams is the number of teams beyond which idle ones are forgotten.
+	sweepTeams = 1024
+)
+
+// Entry is the waiting work of one job.
+type Entry[J any] struct {
+	// Value is the job; the queue does not look at it.
+	Value J
+
+	seq   uint64
+	count int
+	held  bool
+	class structs.Priority
+	team  *team[J]
+	index int
+}
+
+// Count returns the number of waiting tasks.
+func (e *Entry[J]) Count() int { return e.count }
+
+// Quota bounds a team's tasks in one pool; 0 means unlimited.
+type Quota struct {
+	Weight     float64
+	MaxRunning int
+	MaxQueued  int
+}
+
+// Queue is the set of all waiting work of a pool.
+type Queue[J any] struct {
+	fifo    bool
+	classes [structs.Priorities]class[J]
+	teams   map[string]*team[J]
+	sweepAt int
+	credit  float64
+}
+
+type class[J any] struct {
+	virtual float64
+	ready   teamHeap[J]
+	queued  int
+}
+
+type team[J any] struct {
+	name    string
+	quota   Quota
+	running int
+	queued  int
+	lanes   [structs.Priorities]lane[J]
+}
+
+// lane is the work of one team in one class. index is its position in the class's heap, -1 if it is not ready.
+type lane[J any] struct {
+	team    *team[J]
+	virtual float64
+	entries entryHeap[J]
+	index   int
+}
+
+// New returns an empty queue. With fifo the queue ignores classes, teams and quotas and serves in order of arrival.
+func New[J any](fifo bool) *Queue[J] {
+	return &Queue[J]{fifo: fifo, teams: make(map[string]*team[J]), sweepAt: sweepTeams}
+}
+
+// SetQuota sets the weight and limits of a team.
+func (q *Queue[J]) SetQuota(name string, quota Quota) {
+	t := q.team(name)
+	t.quota = quota
+	q.refresh(t)
+}
+
+// NewEntry returns an entry without tasks. seq orders the entries of a team and must be unique.
+func (q *Queue[J]) NewEntry(priority structs.Priority, teamName string, seq uint64, value J) *Entry[J] {
+	if q.fifo {
+		priority, teamName = structs.Urgent, ""
+	}
+	return &Entry[J]{Value: value, seq: seq, class: priority, team: q.team(teamName), index: -1}
+}
+
+// Fits reports whether a team may have count more waiting tasks.
+func (q *Queue[J]) Fits(teamName string, count int) bool {
+	t, ok := q.teams[teamName]
+	if !ok || q.fifo || t.quota.MaxQueued == 0 {
+		return true
+	}
+	return t.queued+count <= t.quota.MaxQueued
+}
+
+// Add makes count more tasks of the entry wait.
+func (q *Queue[J]) Add(e *Entry[J], count int) {
+	e.count += count
+	e.team.queued += count
+	q.classes[e.class].queued += count
+	q.enter(e)
+}
+
+// Hold keeps the entry's tasks from being offered until Release. They count as waiting.
+func (q *Queue[J]) Hold(e *Entry[J]) {
+	e.held = true
+	q.leave(e)
+}
+
+// Release ends Hold.
+func (q *Queue[J]) Release(e *Entry[J]) {
+	e.held = false
+	q.enter(e)
+}
+
+// Peek returns the entry whose task is next in the class, or nil if none may start.
+func (q *Queue[J]) Peek(priority structs.Priority) *Entry[J] {
+	ready := q.classes[priority].ready
+	if len(ready) == 0 {
+		return nil
+	}
+	return ready[0].entries[0]
+}
+
+// RoutineDue reports that the next start belongs to routine work to give it its minimum share.
+func (q *Queue[J]) RoutineDue() bool { return q.credit >= 1 }
+
+// Take removes one task that starts. cost is its expected run time.
+func (q *Queue[J]) Take(e *Entry[J], cost time.Duration) {
+	if e.count == 0 || e.held {
+		panic("fairqueue: task taken from an entry that offers none")
+	}
+	q.account(e.class)
+	lane := &e.team.lanes[e.class]
+	q.classes[e.class].virtual = max(q.classes[e.class].virtual, lane.virtual)
+	lane.virtual += e.team.charge(cost)
+	e.count--
+	e.team.queued--
+	e.team.running++
+	q.classes[e.class].queued--
+	if e.count == 0 {
+		q.leave(e)
+	}
+	q.refresh(e.team)
+}
+
+// account collects the credit of waiting routine work on each start.
+func (q *Queue[J]) account(started structs.Priority) {
+	if len(q.classes[structs.Routine].ready) == 0 {
+		q.credit = 0
+		return
+	}
+	q.credit = min(q.credit+RoutineShare, maxCredit)
+	if started == structs.Routine {
+		q.credit = max(q.credit-1, 0)
+	}
+}
+
+// Return puts a taken task back, which has not started. cost is the value given to Take.
+func (q *Queue[J]) Return(e *Entry[J], cost time.Duration) {
+	lane := &e.team.lanes[e.class]
+	lane.virtual -= e.team.charge(cost)
+	q.Done(e)
+	q.Add(e, 1)
+}
+
+// Done ends a taken task.
+func (q *Queue[J]) Done(e *Entry[J]) {
+	if e.team.running == 0 {
+		panic("fairqueue: team " + e.team.name + " has fewer than 0 running tasks")
+	}
+	e.team.running--
+	q.refresh(e.team)
+}
+
+// Adopted counts a running task that was taken by an earlier owner.
+func (q *Queue[J]) Adopted(e *Entry[J]) {
+	e.team.running++
+	q.refresh(e.team)
+}
+
+// Drop removes all waiting tasks of the entry.
+func (q *Queue[J]) Drop(e *Entry[J]) {
+	q.leave(e)
+	e.team.queued -= e.count
+	q.classes[e.class].queued -= e.count
+	e.count = 0
+}
+
+// Queued returns the number of waiting tasks of a class, held ones included.
+func (q *Queue[J]) Queued(priority structs.Priority) int { return q.classes[priority].queued }
+
+// Running returns the number of taken tasks of a team.
+func (q *Queue[J]) Running(teamName string) int {
+	if t, ok := q.teams[teamName]; ok {
+		return t.running
+	}
+	return 0
+}
+
+// Blocked reports whether the team of the entry is at its limit of running tasks.
+func (q *Queue[J]) Blocked(e *Entry[J]) bool { return e.team.full() }
+
+func (q *Queue[J]) team(name string) *team[J] {
+	if t, ok := q.teams[name]; ok {
+		return t
+	}
+	q.sweep()
+	t := &team[J]{name: name, quota: Quota{Weight: structs.DefaultTeamWeight}}
+	for i := range t.lanes {
+		t.lanes[i] = lane[J]{team: t, index: -1}
+	}
+	q.teams[name] = t
+	return t
+}
+
+// sweep forgets idle teams when there are many, so that invented team names do not fill the memory. An entry keeps
+// its team, hence teams with entries in use are never idle: they have waiting or running tasks.
+func (q *Queue[J]) sweep() {
+	if len(q.teams) < q.sweepAt {
+		return
+	}
+	for name, t := range q.teams {
+		if t.queued == 0 && t.running == 0 && t.quota == (Quota{Weight: structs.DefaultTeamWeight}) {
+			delete(q.teams, name)
+		}
+	}
+	q.sweepAt = 2*len(q.teams) + sweepTeams
+}
+
+func (q *Queue[J]) enter(e *Entry[J]) {
+	if e.held || e.count == 0 || e.index >= 0 {
+		return
+	}
+	heap.Push(&e.team.lanes[e.class].entries, e)
+	q.refresh(e.team)
+}
+
+func (q *Queue[J]) leave(e *Entry[J]) {
+	if e.index < 0 {
+		return
+	}
+	heap.Remove(&e.team.lanes[e.class].entries, e.index)
+	q.refresh(e.team)
+}
+
+// refresh restores the place of a team's lanes in the heaps of their classes.
+func (q *Queue[J]) refresh(t *team[J]) {
+	for i := range t.lanes {
+		q.refreshLane(&q.classes[i], &t.lanes[i])
+	}
+}
+
+func (q *Queue[J]) refreshLane(c *class[J], l *lane[J]) {
+	ready := len(l.entries) > 0 && !l.team.full()
+	switch {
+	case ready && l.index >= 0:
+		heap.Fix(&c.ready, l.index)
+	case ready:
+		// A team that was idle gets no credit for the time in which it asked for nothing.
+		l.virtual = max(l.virtual, c.virtual)
+		heap.Push(&c.ready, l)
+	case l.index >= 0:
+		heap.Remove(&c.ready, l.index)
+	}
+}
+
+func (t *team[J]) full() bool { return t.quota.MaxRunning > 0 && t.running >= t.quota.MaxRunning }
+
+func (t *team[J]) charge(cost time.Duration) float64 {
+	weight := t.quota.Weight
+	if weight <= 0 {
+		weight = structs.DefaultTeamWeight
+	}
+	return max(cost, minCost).Seconds() / weight
+}
+
+// entryHeap orders the entries of a lane by their sequence number.
+type entryHeap[J any] []*Entry[J]
+
+func (h entryHeap[J]) Len() int           { return len(h) }
+func (h entryHeap[J]) Less(i, j int) bool { return h[i].seq < h[j].seq }
+func (h entryHeap[J]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *entryHeap[J]) Push(x any) {
+	e := x.(*Entry[J])
+	e.index = len(*h)
+	*h = append(*h, e)
+}
+
+// Pop implements heap.Interface.
+func (h *entryHeap[J]) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	e.index = -1
+	return e
+}
+
+// teamHeap orders the ready lanes of a class by virtual time, then by name for determinism.
+type teamHeap[J any] []*lane[J]
+
+func (h teamHeap[J]) Len() int { return len(h) }
+func (h teamHeap[J]) Less(i, j int) bool {
+	if h[i].virtual != h[j].virtual {
+		return h[i].virtual < h[j].virtual
+	}
+	return h[i].team.name < h[j].team.name
+}
+func (h teamHeap[J]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *teamHeap[J]) Push(x any) {
+	l := x.(*lane[J])
+	l.index = len(*h)
+	*h = append(*h, l)
+}
+
+// Pop implements heap.Interface.
+func (h *teamHeap[J]) Pop() any {
+	last := len(*h) - 1
+	l := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	l.index = -1
+	return l
+}
--- /dev/null
+++ b/internal/placement/index.go
@@ -0,0 +1,441 @@
+// Package placement chooses the server of a task in three stages: Filter (which servers may take it), Score (the
+// lowest expected run time, learned per server and kind) and Reserve (count the slot).
+//
+// An Index keeps the servers that pass the filter in sets, and per kind in buckets of expected run time, so that a
+// choice costs about the same for 11 and for 1,100 servers. It is deterministic and not safe for concurrent use.
+package placement
+
+import (
+	"cmp"
+
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Limits of the work that an agent gets.
+const (
+	// QueueBound is the number of tasks that an agent may hold beyond its slots.
+	QueueBound = 2
+	// PrefetchBound is the number of routine tasks sent to an agent whose slots are all busy. It is below QueueBound
+	// so that an urgent task still has a place in the queue, where it goes first.
+	PrefetchBound = 1
+	// ShortRoutine is the longest expected run time of a routine task that may use held-back capacity.
+	ShortRoutine = 250 * time.Millisecond
+	// rampStart is the share of slots in use at once after a return.
+	rampStart = 0.5
+	// RampTime is the time from a server's return to the use of all slots.
+	RampTime = time.Second
+	// heldInterval is the time between assignments of the held-back slots to servers.
+	heldInterval = time.Second
+)
+
+// Circuit breaker and refusals.
+const (
+	// breakerFailures is the number of failures in a row that opens the breaker.
+	breakerFailures = 5
+	// probeInterval is the shortest time between two probes of a failing server.
+	probeInterval = time.Second
+	// refusalPause is the time without starts after a first refusal. It doubles up to refusalPauseMax.
+	refusalPause    = 20 * time.Millisecond
+	refusalPauseMax = time.Second
+)
+
+// Server is one agent with its backend server.
+type Server struct {
+	// Value is the caller's; the index does not look at it.
+	Value any
+
+	number   int
+	slots    int
+	inflight int
+	held     int
+	serving  bool
+	// speed is the base 2 logarithm of the run time relative to the kind's.
+	speed    float64
+	samples  float64
+	rampFrom time.Duration
+	ramping  bool
+
+	failures  int
+	failedJob uint64
+	nextProbe time.Duration
+
+	refusals    int
+	pausedUntil time.Duration
+	attention   bool
+	gone        bool
+}
+
+// Inflight returns the number of reserved places.
+func (s *Server) Inflight() int { return s.inflight }
+
+// Slots returns the number of tasks that may run at once.
+func (s *Server) Slots() int { return s.slots }
+
+// Speed returns the learned run time relative to the average; 2 takes twice as long.
+func (s *Server) Speed() float64 { return math.Exp2(s.speed) }
+
+// Open reports whether the circuit breaker keeps work from the server.
+func (s *Server) Open() bool { return s.failures >= breakerFailures }
+
+// Paused reports whether the server gets no work for a short time after refusals.
+func (s *Server) Paused(now time.Duration) bool { return now < s.pausedUntil }
+
+// Ramping reports whether the server uses a part of its slots after its return.
+func (s *Server) Ramping() bool { return s.ramping }
+
+// Index holds the servers of a pool.
+type Index struct {
+	now     time.Duration
+	servers []*Server
+	kinds   map[string]*Kind
+	order   []*Kind
+	// free holds servers with a free slot, bulk those with a free slot beyond the held-back ones, queue those with
+	// all slots busy and room for a prefetched task, overtake those with room for an urgent task ahead of a
+	// prefetched one, and room all with less than slots and QueueBound reserved.
+	free, bulk, queue, overtake, room bitset
+	attention                         []*Server
+	heldShare                         float64
+	heldAt                            time.Duration
+	slots, serving                    int
+	heldStale                         bool
+	// turn spreads choices within a bucket, cursor is the position of Next.
+	turn, cursor int
+	random       *rand.Rand
+}
+
+// NewIndex returns an empty index. seed decides the choices of Random.
+func NewIndex(seed uint64) *Index {
+	return &Index{kinds: make(map[string]*Kind), random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// Slots returns the sum of the slots of all serving servers.
+func (x *Index) Slots() int { return x.slots }
+
+// Serving returns the number of servers that may get work.
+func (x *Index) Serving() int { return x.serving }
+
+// SetHeldShare sets the share of slots, 0 to 0.5, that long routine tasks may not use.
+func (x *Index) SetHeldShare(share float64) {
+	x.heldShare = share
+	x.heldStale = true
+}
+
+// Kind returns the estimates of a kind. declared is the first estimate of a new one, 0 if there is none.
+func (x *Index) Kind(name string, declared time.Duration) *Kind {
+	if k, ok := x.kinds[name]; ok {
+		return k
+	}
+	if len(x.order) == maxKinds {
+		return x.order[nameHash(name)%maxKinds]
+	}
+	k := newKind(declared)
+	for _, s := range x.servers {
+		if s != nil {
+			k.place(s)
+		}
+	}
+	x.kinds[name] = k
+	x.order = append(x.order, k)
+	return k
+}
+
+// Kinds returns all kinds with estimates of their own.
+func (x *Index) Kinds() []*Kind { return x.order }
+
+// Join adds a server that gets no work until SetServing.
+func (x *Index) Join(value any) *Server {
+	s := &Server{Value: value, number: slices.Index(x.servers, nil)}
+	if s.number < 0 {
+		s.number = len(x.servers)
+		x.servers = append(x.servers, nil)
+	}
+	x.servers[s.number] = s
+	for _, k := range x.order {
+		k.place(s)
+	}
+	return s
+}
+
+// Leave removes a server.
+func (x *Index) Leave(s *Server) {
+	x.Update(s, 0, false, false)
+	s.gone = true
+	x.servers[s.number] = nil
+	for _, k := range x.order {
+		k.remove(s.number)
+		k.pairs[s.number] = pair{}
+	}
+}
+
+// Update sets the slots of a server and whether it may get work. ramp lets it use half of its slots at first and
+// all of them after RampTime.
+func (x *Index) Update(s *Server, slots int, serving, ramp bool) {
+	if s.serving {
+		x.slots -= s.slots
+		x.serving--
+	}
+	if ramp && serving && !s.serving {
+		s.ramping, s.rampFrom = true, x.now
+		x.watch(s)
+	}
+	s.slots, s.serving = slots, serving
+	if serving {
+		x.slots += slots
+		x.serving++
+	}
+	x.heldStale = true
+	x.refresh(s)
+}
+
+// Settle applies changes of the servers to the held-back slots. Callers settle before they choose servers.
+func (x *Index) Settle() {
+	if x.heldStale || x.now >= x.heldAt+heldInterval {
+		x.assignHeld()
+	}
+}
+
+// Advance lets time pass: ramps, probes and pauses.
+func (x *Index) Advance(now time.Duration) {
+	x.now = now
+	kept := x.attention[:0]
+	for _, s := range x.attention {
+		s.attention = x.advanceServer(s)
+		if s.attention {
+			kept = append(kept, s)
+		}
+	}
+	clear(x.attention[len(kept):])
+	x.attention = kept
+}
+
+// advanceServer reports whether the server's limits still depend on time.
+func (x *Index) advanceServer(s *Server) bool {
+	if s.gone {
+		return false
+	}
+	if s.ramping && x.now >= s.rampFrom+RampTime {
+		s.ramping = false
+	}
+	x.refresh(s)
+	return s.ramping || s.Open() || s.Paused(x.now)
+}
+
+func (x *Index) watch(s *Server) {
+	if !s.attention {
+		s.attention = true
+		x.attention = append(x.attention, s)
+	}
+}
+
+// assignHeld gives the held-back slots to the fastest servers, one each in turn, so that urgent tasks find a fast
+// server free.
+func (x *Index) assignHeld() {
+	x.heldAt, x.heldStale = x.now, false
+	serving := make([]*Server, 0, x.serving)
+	for _, s := range x.servers {
+		if s == nil {
+			continue
+		}
+		s.held = 0
+		if s.serving {
+			serving = append(serving, s)
+		}
+	}
+	slices.SortStableFunc(serving, func(a, b *Server) int { return cmp.Compare(a.speed, b.speed) })
+	for left := int(math.Ceil(x.heldShare * float64(x.slots))); left > 0; {
+		before := left
+		for _, s := range serving {
+			if left > 0 && s.held < s.slots {
+				s.held++
+				left--
+			}
+		}
+		if left == before {
+			break
+		}
+	}
+	for _, s := range serving {
+		x.refresh(s)
+	}
+}
+
+// limit returns the number of tasks that the server may have in flight at present.
+func (s *Server) limit(now time.Duration) int {
+	switch {
+	case !s.serving || s.Paused(now):
+		return 0
+	case s.Open():
+		if s.inflight > 0 || now < s.nextProbe {
+			return 0
+		}
+		return 1
+	case s.ramping:
+		share := rampStart + (1-rampStart)*float64(now-s.rampFrom)/float64(RampTime)
+		return max(1, int(share*float64(s.slots)))
+	}
+	return s.slots
+}
+
+// refresh recomputes the server's place in the sets of the filter stage.
+func (x *Index) refresh(s *Server) {
+	free := s.limit(x.now) - s.inflight
+	normal := s.serving && !s.Open() && !s.ramping && !s.Paused(x.now)
+	x.free.put(s.number, free > 0)
+	x.bulk.put(s.number, free > s.held)
+	x.queue.put(s.number, normal && free <= 0 && s.inflight < s.slots+PrefetchBound)
+	x.overtake.put(s.number, normal && s.inflight > s.slots && s.inflight < s.slots+QueueBound)
+	x.room.put(s.number, normal && s.inflight < s.slots+QueueBound)
+}
+
+// Need says which servers pass the filter for a task.
+type Need uint8
+
+// The needs.
+const (
+	// AnySlot is a free slot, held back or not.
+	AnySlot Need = iota
+	// BulkSlot is a free slot that is not held back.
+	BulkSlot
+	// QueuePlace is a place in the queue of a server whose slots are all busy.
+	QueuePlace
+	// OvertakePlace is a place in the queue of a server ahead of a prefetched task.
+	OvertakePlace
+)
+
+func (x *Index) set(need Need) *bitset {
+	switch need {
+	case BulkSlot:
+		return &x.bulk
+	case QueuePlace:
+		return &x.queue
+	case OvertakePlace:
+		return &x.overtake
+	default:
+		return &x.free
+	}
+}
+
+// Has reports whether any server passes the filter.
+func (x *Index) Has(need Need) bool { return !x.set(need).empty() }
+
+// Fastest returns the server with the lowest expected run time for a kind among those that pass the filter and are
+// not excluded, or nil.
+func (x *Index) Fastest(k *Kind, need Need, excluded []*Server) *Server {
+	set := x.set(need)
+	x.exclude(set, excluded)
+	number := k.fastest(set, x.turn)
+	for _, s := range excluded {
+		x.restore(s)
+	}
+	return x.at(number)
+}
+
+// Random returns a random server with room, without regard to free slots.
+func (x *Index) Random(excluded []*Server) *Server {
+	x.exclude(&x.room, excluded)
+	number := -1
+	if len(x.servers) > 0 {
+		number = x.room.next(x.random.IntN(len(x.servers)))
+	}
+	for _, s := range excluded {
+		x.restore(s)
+	}
+	return x.at(number)
+}
+
+// Next returns the servers with a free slot in turn, without regard to speed.
+func (x *Index) Next(excluded []*Server) *Server {
+	x.exclude(&x.free, excluded)
+	number := x.free.next(x.cursor)
+	for _, s := range excluded {
+		x.restore(s)
+	}
+	x.cursor = number + 1
+	return x.at(number)
+}
+
+func (x *Index) exclude(set *bitset, excluded []*Server) {
+	for _, s := range excluded {
+		if !s.gone {
+			set.clear(s.number)
+		}
+	}
+}
+
+func (x *Index) restore(s *Server) {
+	if !s.gone {
+		x.refresh(s)
+	}
+}
+
+func (x *Index) at(number int) *Server {
+	if number < 0 {
+		return nil
+	}
+	return x.servers[number]
+}
+
+// Reserve counts a place for a task that is sent to the server.
+func (x *Index) Reserve(s *Server) {
+	if s.inflight >= s.slots+QueueBound {
+		panic("placement: reservation beyond slots and queue bound")
+	}
+	if s.Open() {
+		s.nextProbe = x.now + probeInterval
+	}
+	s.inflight++
+	x.turn = (x.turn + 1) % wordBits
+	x.refresh(s)
+}
+
+// Occupy counts a task that an earlier owner has sent.
+func (x *Index) Occupy(s *Server) {
+	s.inflight++
+	x.refresh(s)
+}
+
+// Release frees a place.
+func (x *Index) Release(s *Server) {
+	if s.inflight == 0 {
+		panic("placement: release of a place that is not reserved")
+	}
+	s.inflight--
+	x.refresh(s)
+}
+
+// Finished learns the speed from a task that succeeded and closes the breaker.
+func (x *Index) Finished(s *Server, k *Kind, runTime time.Duration) {
+	k.observe(s, runTime)
+	s.failures, s.failedJob, s.refusals = 0, 0, 0
+	x.refresh(s)
+}
+
+// Failed counts a failure for the breaker. Failures of the same job in a row count once, so that one job whose tasks
+// all fail does not open the breakers of all servers. job is not 0.
+func (x *Index) Failed(s *Server, job uint64) {
+	if s.failedJob != job {
+		s.failedJob = job
+		s.failures++
+	}
+	if s.Open() {
+		s.nextProbe = max(s.nextProbe, x.now+probeInterval)
+		x.watch(s)
+	}
+	x.refresh(s)
+}
+
+// Refused pauses a server that refused a start, so that the task and others are not sent to it again and again.
+func (x *Index) Refused(s *Server) {
+	pause := min(refusalPause<<min(s.refusals, 10), refusalPauseMax)
+	s.refusals++
+	s.pausedUntil = max(s.pausedUntil, x.now+pause)
+	x.watch(s)
+	x.refresh(s)
+}
+
+func nameHash(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/structs/job.go
+++ b/internal/structs/job.go
@@ -74,6 +74,9 @@
 	Payloads     [][]byte
 	// Digest is the value of BodyDigest, set by the entry gateway.
 	Digest [KeySize]byte
+	// TicketUnique is the Unique part of the ticket. It holds the ticket's time of issue, so that the owner can
+	// refuse a ticket that is older than its memory of jobs. Empty means a client-chosen key.
+	TicketUnique string
 }
 
 // BodyDigest returns a digest of everything in the submission that makes it the same request.
--- a/internal/structs/problem.go
+++ b/internal/structs/problem.go
@@ -33,6 +33,8 @@
 	CodeInvalidConfig   Code = "invalid_configuration"
 	CodeInternal        Code = "internal"
 	CodeTooManyRequests Code = "too_many_requests"
+	// CodeResultGone says that the job completed and that its results were dropped to bound the memory.
+	CodeResultGone Code = "result_gone"
 )
 
 // Problem is an error of the caller or admin interface. On HTTP it is a problem detail (RFC 9457).
