Keep the number of pools of removed services in the configuration

Cause: a service that is removed and created again with another number of pools maps the same key to another pool, which knows nothing of the key and would run its tasks a second time.

Ruled out: forbidding the name for the retention period, since clocks differ by minutes and the document has only a wall-clock time.

Conclusion: additive field, empty until a service is removed.

--- a/internal/structs/config.go
+++ b/internal/structs/config.go
@@ -13,6 +13,9 @@
 	Servers map[string]ServerConfig `json:"servers,omitempty"`
 	Teams   map[string]TeamConfig   `json:"teams"`
 	Limits  Limits                  `json:"limits"`
+	// Retired maps removed services to their number of pools. A service that is created again keeps the number, so
+	// that a key used before the removal still maps to the same pool and is not run a second time.
+	Retired map[string]uint16 `json:"retired,omitempty"`
 }
 
 // Change describes the last change of the configuration. Its ID tells the author after a lost answer whether the
