Add the configuration package

Purpose: operators' changes must be whole, audited and never lost, and every process must be able to tell which document to apply and who has not acknowledged it.

A lost answer can be overtaken by a later change before it is read back.

Ruled out: answering 'nothing changed' after an unresolved write, because a delayed write may still take effect; such a change has the outcome may_have_run.

--- /dev/null
+++ b/internal/configuration/errors.go
@@ -0,0 +1,181 @@
+package configuration
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// DecodeError reports a document that is not in the form of Encode.
+type DecodeError struct{ Err error }
+
+// Error implements error.
+func (e *DecodeError) Error() string { return "configuration: malformed document: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Err }
+
+// Fault is one rule that a document breaks.
+type Fault struct {
+	// Where names the setting in the operators' words, for example "service lending pools".
+	Where string
+	// Text says what is wrong and what is valid.
+	Text string
+}
+
+// String returns one sentence.
+func (f Fault) String() string { return f.Where + ": " + f.Text }
+
+// ValidationError reports all faults of a document or of a text import.
+type ValidationError struct{ Faults []Fault }
+
+// Error implements error.
+func (e *ValidationError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, fault := range e.Faults {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "; ")
+}
+
+// ValueError reports a word that is no value of a field, or no field.
+type ValueError struct {
+	Field string
+	Value string
+	// Want describes the valid values.
+	Want string
+	// Suggestion is the nearest valid word, if there is one.
+	Suggestion string
+}
+
+// Error implements error.
+func (e *ValueError) Error() string {
+	text := fmt.Sprintf("%q is no value of %s: want %s", e.Value, e.Field, e.Want)
+	if e.Field == "" {
+		text = fmt.Sprintf("there is no field %q: want %s", e.Value, e.Want)
+	}
+	return text + suggestionText(e.Suggestion)
+}
+
+func suggestionText(word string) string {
+	if word == "" {
+		return ""
+	}
+	return fmt.Sprintf(" (did you mean %q?)", word)
+}
+
+// ConflictError reports that another change was accepted first. The proposal changed nothing.
+type ConflictError struct {
+	// Revision and Winner describe the accepted change. Revision is 0 if it could not be read.
+	Revision structs.Revision
+	Winner   structs.Change
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	if e.Revision == 0 {
+		return "another change was accepted first; nothing was changed by this command"
+	}
+	return fmt.Sprintf("%s was faster: revision %d is already accepted with the command %q; "+
+		"nothing was changed by this command", e.Winner.Operator, e.Revision, e.Winner.Command)
+}
+
+// UnchangedError reports that the document already has the wanted settings. It is no failure.
+type UnchangedError struct{ Revision structs.Revision }
+
+// Error implements error.
+func (e *UnchangedError) Error() string {
+	return fmt.Sprintf("nothing to change: revision %d already says so", e.Revision)
+}
+
+// MajorityError reports that the gateway does not hear a majority of the agents of some pools.
+type MajorityError struct{ Pools []structs.PoolID }
+
+// Error implements error.
+func (e *MajorityError) Error() string {
+	names := make([]string, len(e.Pools))
+	for i, pool := range e.Pools {
+		names[i] = pool.String()
+	}
+	return "this gateway hears less than half of the backend servers of " + strings.Join(names, ", ") +
+		"; nothing was changed; try a gateway on the other side of the partition"
+}
+
+// StoreError reports that the store did not answer. Nothing was changed.
+type StoreError struct{ Err error }
+
+// Error implements error.
+func (e *StoreError) Error() string {
+	return "the store does not answer; nothing was changed; work goes on with the present configuration"
+}
+
+// Unwrap returns the cause.
+func (e *StoreError) Unwrap() error { return e.Err }
+
+// UnknownError reports that the answer to the write of the document was lost and could not be resolved before the
+// timeout. The change may be in effect or may yet take effect.
+type UnknownError struct {
+	Revision structs.Revision
+	ChangeID string
+	Err      error
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("the store stopped answering during the change; it may become revision %d; "+
+		"look at the history when the store answers again", e.Revision)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// ForkError reports two different documents of one revision, which compare-and-swap excludes. It points at a store
+// that was restored or edited by hand.
+type ForkError struct {
+	Revision structs.Revision
+	Have     string
+	Got      string
+}
+
+// Error implements error.
+func (e *ForkError) Error() string {
+	return fmt.Sprintf("configuration: revision %d has the changes %s and %s", e.Revision, e.Have, e.Got)
+}
+
+// Problem translates an error of this package for the admin interface. An error of another package becomes
+// CodeInternal, a *structs.Problem is returned as it is.
+func Problem(err error) *structs.Problem {
+	var problem *structs.Problem
+	if errors.As(err, &problem) {
+		return problem
+	}
+	code, status, outcome := classify(err)
+	return &structs.Problem{Code: code, Status: status, Outcome: outcome, Detail: err.Error()}
+}
+
+func classify(err error) (structs.Code, int, structs.Outcome) {
+	var conflict *ConflictError
+	var majority *MajorityError
+	var storeDown *StoreError
+	var unknown *UnknownError
+	var invalid *ValidationError
+	var value *ValueError
+	switch {
+	case errors.As(err, &conflict):
+		return structs.CodeConflict, http.StatusConflict, structs.OutcomeNotRun
+	case errors.As(err, &majority):
+		return structs.CodeNoMajority, http.StatusServiceUnavailable, structs.OutcomeNotRun
+	case errors.As(err, &storeDown):
+		return structs.CodeStoreDown, http.StatusServiceUnavailable, structs.OutcomeNotRun
+	case errors.As(err, &unknown):
+		return structs.CodeStoreDown, http.StatusServiceUnavailable, structs.OutcomeMayHaveRun
+	case errors.As(err, &invalid):
+		return structs.CodeInvalidConfig, http.StatusUnprocessableEntity, structs.OutcomeNotRun
+	case errors.As(err, &value):
+		return structs.CodeBadRequest, http.StatusBadRequest, structs.OutcomeNotRun
+	}
+	return structs.CodeInternal, http.StatusInternalServerError, structs.OutcomeNotRun
+}
