Add the operators' language

Purpose: seasonal operators type short sentences, on the command line and in the admin API, and learn what will happen, what happened and the nearest valid word after a mistake.

The grammar is participle's; a table of sentences gives roles, help, completion and explanations.

Ruled out: participle's own errors, which name tokens and no suggestion; unknown zone names in a change, since a typing error would leave a service without servers ('zone NAME create' names a zone in advance).

--- /dev/null
+++ b/internal/query/executor.go
@@ -0,0 +1,190 @@
+package query
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+
+	"rosedrift.example/rosedrift/internal/admin"
+	"rosedrift.example/rosedrift/internal/configuration"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Executor runs commands against the gateway. It holds no state and is safe for concurrent use.
+type Executor struct{ system admin.System }
+
+var _ admin.Executor = (*Executor)(nil)
+
+// NewExecutor returns an Executor for a gateway.
+func NewExecutor(system admin.System) *Executor { return &Executor{system: system} }
+
+// Execute implements admin.Executor. The problem's outcome says whether a change may have happened.
+func (e *Executor) Execute(ctx context.Context, caller admin.Caller, request admin.Request) (*admin.Result, *structs.Problem) {
+	command, err := Parse(request.Command)
+	if err != nil {
+		return nil, configuration.Problem(err)
+	}
+	if need := RoleOf(request.Command); caller.Role < need {
+		return nil, refusal(structs.CodeForbidden, http.StatusForbidden,
+			"%q needs the role %s; %s has the role %s", request.Command, need, caller.Name, caller.Role)
+	}
+	if command.Reads() {
+		return e.read(ctx, command)
+	}
+	run := execution{Executor: e, caller: caller, request: request, command: command}
+	return run.execute(ctx)
+}
+
+func (e *Executor) read(ctx context.Context, c *Command) (*admin.Result, *structs.Problem) {
+	switch {
+	case c.Help != nil:
+		return helpTable(c.Help.Topic)
+	case c.Servers != nil:
+		return e.servers(ctx, c.Servers.Zone)
+	case c.Pools != nil:
+		return e.pools(ctx, c.Pools.Service)
+	case c.Jobs != nil:
+		return e.jobs(ctx, c.Jobs.Service)
+	case c.History != nil:
+		return e.history(ctx, c.History.Before)
+	case c.Why != nil && c.Why.Job != "":
+		return e.whyJob(ctx, c.Why.Job)
+	case c.Why != nil:
+		return e.whyQueue(ctx, c.Why.Queue)
+	}
+	return e.readPlain(ctx, c.Plain)
+}
+
+func (e *Executor) readPlain(ctx context.Context, word string) (*admin.Result, *structs.Problem) {
+	switch word {
+	case "zones":
+		return e.zones(ctx), nil
+	case "services":
+		return e.services(ctx), nil
+	case "teams":
+		return e.teams(), nil
+	case "limits":
+		return e.limits(), nil
+	case "gateways":
+		return e.gateways(ctx), nil
+	case wordExport:
+		return &admin.Result{Document: configuration.Export(e.system.Config())}, nil
+	}
+	return nil, badRequest("there is no listing %q", word)
+}
+
+// Complete implements admin.Executor.
+func (e *Executor) Complete(ctx context.Context, line string) []string {
+	if len(line) > MaxLineBytes {
+		return nil
+	}
+	return complete(line, func(s slot) []string { return e.names(ctx, s) })
+}
+
+// maxCompletedJobs bounds the job ids offered by completion.
+const maxCompletedJobs = 20
+
+// names returns the known names of a placeholder, sorted.
+func (e *Executor) names(ctx context.Context, s slot) []string {
+	switch s {
+	case slotZone:
+		return e.zoneNames(ctx)
+	case slotServer:
+		return slices.Sorted(maps.Keys(e.serverNames(ctx)))
+	case slotService:
+		return slices.Sorted(maps.Keys(e.system.Config().Services))
+	case slotTeam:
+		return slices.Sorted(maps.Keys(e.system.Config().Teams))
+	case slotGateway:
+		return e.gatewayNames(ctx)
+	case slotJob:
+		var ids []string
+		for _, job := range e.system.Jobs(ctx, "", maxCompletedJobs).Items {
+			ids = append(ids, job.Job.String())
+		}
+		return ids
+	case slotWord:
+		return firstWords()
+	default:
+		return nil
+	}
+}
+
+func firstWords() []string {
+	var words []string
+	for _, s := range sentences {
+		words = append(words, string(s.slots()[0]))
+	}
+	slices.Sort(words)
+	return slices.Compact(words)
+}
+
+// zoneNames returns the zones of the configuration, of the backend servers and of the gateways.
+func (e *Executor) zoneNames(ctx context.Context) []string {
+	known := map[string]bool{}
+	for name := range e.system.Config().Zones {
+		known[name] = true
+	}
+	for _, agent := range e.system.Agents(ctx).Items {
+		known[agent.Status.Zone] = true
+	}
+	for _, gateway := range e.system.Gateways(ctx) {
+		known[gateway.Zone] = true
+	}
+	delete(known, "")
+	return slices.Sorted(maps.Keys(known))
+}
+
+func (e *Executor) gatewayNames(ctx context.Context) []string {
+	var names []string
+	for _, gateway := range e.system.Gateways(ctx) {
+		names = append(names, string(gateway.Gateway.ID))
+	}
+	slices.Sort(names)
+	return names
+}
+
+// serverNames maps the names that an operator may use to agent ids: the agent's id and, where it is unique, the name
+// under which the backend server announced itself.
+func (e *Executor) serverNames(ctx context.Context) map[string]structs.AgentID {
+	names := map[string]structs.AgentID{}
+	uses := map[string]int{}
+	agents := e.system.Agents(ctx).Items
+	for _, agent := range agents {
+		names[agent.Status.Server] = agent.Status.Agent.ID
+		uses[agent.Status.Server]++
+	}
+	for name, n := range uses {
+		if n > 1 || name == "" {
+			delete(names, name)
+		}
+	}
+	for name := range e.system.Config().Servers {
+		names[name] = structs.AgentID(name)
+	}
+	for _, agent := range agents {
+		names[string(agent.Status.Agent.ID)] = agent.Status.Agent.ID
+	}
+	return names
+}
+
+// silentNotes says which gateways did not answer a fan-out.
+func silentNotes(silent []structs.GatewayID) []string {
+	if len(silent) == 0 {
+		return nil
+	}
+	names := make([]string, len(silent))
+	for i, id := range silent {
+		names[i] = string(id)
+	}
+	return []string{"No answer from gateway " + strings.Join(names, ", ") + ": what they own is missing here."}
+}
+
+func checkService(config *structs.Configuration, name string) *structs.Problem {
+	if _, ok := config.Services[name]; ok || name == "" {
+		return nil
+	}
+	return unknownName("service", name, slices.Sorted(maps.Keys(config.Services)))
+}
