Add the agent process

Purpose: connect the agent's state machine to gateways, the backend server and the operator.

- One goroutine owns the machine and reads the clock right before each step.
The right to start is checked again when net/http first reads the request body, which is before it writes to the connection, so that a process that was paused in between sends nothing.
A request that was not written is reported as refused, not as failed.
- A server that repeats the headers Rosedrift-Job and Rosedrift-Task gets kept connections and its answers are checked; any other gets a connection for each task, since a doubled answer could not be told from the next one.
- One link for each gateway, also if it is listed under several addresses.
As at the gateway, a newer link replaces an older one.

Ruled out: http.Client, which would send a start again on a redirect.

--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,341 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"rosedrift.example/rosedrift/internal/link"
+	"rosedrift.example/rosedrift/internal/standin"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeGateway accepts links and answers heartbeats at once. Events and the other messages go to channels.
+type fakeGateway struct {
+	t       *testing.T
+	server  *httptest.Server
+	events  chan structs.TaskEvent
+	others  chan any
+	mu      sync.Mutex
+	link    *link.Link
+	epoch   structs.Epoch
+	silent  bool
+	members []string
+	links   int
+	leaving bool
+	group   sync.WaitGroup
+}
+
+func newFakeGateway(t *testing.T) *fakeGateway {
+	g := &fakeGateway{t: t, events: make(chan structs.TaskEvent, 10_000), others: make(chan any, 10_000), epoch: 1}
+	mux := http.NewServeMux()
+	mux.HandleFunc(link.PathAgent, func(w http.ResponseWriter, r *http.Request) {
+		g.group.Add(1)
+		if _, err := link.Accept(w, r, link.Options{}, g); err != nil {
+			g.group.Done()
+		}
+	})
+	g.server = httptest.NewServer(mux)
+	t.Cleanup(func() {
+		g.server.Close()
+		g.group.Wait()
+	})
+	return g
+}
+
+func (g *fakeGateway) address() string { return strings.TrimPrefix(g.server.URL, "http://") }
+
+// Receive implements link.Handler.
+func (g *fakeGateway) Receive(l *link.Link, envelopes []structs.Envelope) {
+	for _, e := range envelopes {
+		switch e.Type {
+		case structs.TypeAgentHello:
+			g.hello(l)
+		case structs.TypeAgentHeartbeat:
+			g.echo(l, e)
+		case structs.TypeTaskEvents:
+			var message structs.TaskEvents
+			_ = link.Decode(e, &message)
+			for _, event := range message.Events {
+				g.events <- event
+			}
+		case structs.TypeConfigDocument:
+			message := new(structs.ConfigDocument)
+			_ = link.Decode(e, message)
+			g.others <- message
+		case structs.TypeFenceReply:
+			message := new(structs.FenceReply)
+			_ = link.Decode(e, message)
+			g.others <- message
+		default:
+		}
+	}
+}
+
+// hello answers the first message, owns the pool and replaces an older link.
+func (g *fakeGateway) hello(l *link.Link) {
+	g.mu.Lock()
+	old := g.link
+	g.link = l
+	g.links++
+	hello := structs.GatewayHello{Gateway: structs.GatewayRef{ID: "g1", Incarnation: 1}, Members: g.members}
+	g.mu.Unlock()
+	if old != nil && old != l {
+		old.Close("replaced")
+	}
+	_ = l.Send(link.Control, structs.TypeGatewayHello, hello)
+	_ = l.Send(link.Control, structs.TypeFence, structs.Fence{Pool: testPool, Epoch: g.epoch})
+	_ = l.Send(link.Control, structs.TypeGatewayHeartbeat, structs.GatewayHeartbeat{Epoch: g.epoch})
+}
+
+// echo answers every heartbeat after a short while, which keeps the agent fresh without a timer of its own.
+func (g *fakeGateway) echo(l *link.Link, e structs.Envelope) {
+	var beat structs.AgentHeartbeat
+	_ = link.Decode(e, &beat)
+	g.mu.Lock()
+	g.leaving = beat.Leaving
+	silent, epoch := g.silent, g.epoch
+	g.mu.Unlock()
+	if silent {
+		return
+	}
+	time.AfterFunc(20*time.Millisecond, func() {
+		_ = l.Send(link.Control, structs.TypeGatewayHeartbeat, structs.GatewayHeartbeat{
+			Seq: beat.Seq, EchoSeq: beat.Seq, Epoch: epoch,
+		})
+	})
+}
+
+// Closed implements link.Handler.
+func (g *fakeGateway) Closed(l *link.Link, _ error) {
+	defer g.group.Done()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.link == l {
+		g.link = nil
+	}
+}
+
+func (g *fakeGateway) send(typ structs.MessageType, message any) {
+	g.mu.Lock()
+	l := g.link
+	g.mu.Unlock()
+	require.NotNil(g.t, l)
+	require.NoError(g.t, l.Send(link.Urgent, typ, message))
+}
+
+// start sends a start under the first epoch.
+func (g *fakeGateway) start(task structs.TaskRef, payload string) {
+	g.send(structs.TypeStart, structs.Start{Epoch: 1, Tasks: []structs.TaskStart{{
+		Task: task, Priority: structs.Urgent, Kind: "bake", Payload: []byte(payload),
+	}}})
+}
+
+// runToEnd starts a task again after each refusal until it has ended.
+func (g *fakeGateway) runToEnd(task structs.TaskRef, payload string) structs.TaskEvent {
+	for {
+		g.start(task, payload)
+		event := <-g.events
+		require.Equal(g.t, task, event.Task)
+		if event.Kind != structs.TaskRefused {
+			return event
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+type testAgent struct {
+	*Agent
+	stop context.CancelFunc
+	done chan error
+}
+
+func runTestAgent(t *testing.T, options ProcessOptions) *testAgent {
+	options.Self, options.Zone, options.Listen = testSelf, testZone, "127.0.0.1:0"
+	a, err := NewAgent(options)
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	running := &testAgent{Agent: a, stop: stop, done: make(chan error, 1)}
+	go func() { running.done <- a.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		<-a.ended
+		a.gateways.group.Wait()
+	})
+	return running
+}
+
+func runTestBackend(t *testing.T, a *testAgent) *standin.Backend {
+	b, err := standin.NewBackend(standin.BackendOptions{
+		Name: "oven", Service: testService, Address: "127.0.0.1:0", Agent: a.Address(), Slots: testSlots, Connections: 64,
+	})
+	require.NoError(t, err)
+	return b
+}
+
+func waitLinked(t *testing.T, g *fakeGateway) {
+	require.Eventually(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.link != nil && !g.leaving
+	}, time.Minute, time.Millisecond)
+}
+
+// TestAgentRunsTasksAndStopsGracefully guards against results that are not the task's own, starts beyond the slots,
+// and requests cut short by a planned stop.
+func TestAgentRunsTasksAndStopsGracefully(t *testing.T) {
+	g := newFakeGateway(t)
+	a := runTestAgent(t, ProcessOptions{Gateways: []string{g.address()}})
+	b := runTestBackend(t, a)
+	defer b.Kill()
+	waitLinked(t, g)
+	for i := range 50 {
+		task, payload := testTask(1, i), `{"run_ms":1,"echo":"`+strconv.Itoa(i)+`"}`
+		event := g.runToEnd(task, payload)
+		require.Equal(t, structs.TaskFinished, event.Kind, event.Error)
+		err := standin.VerifyBackendResult(event.Result, task.Job.String(), strconv.Itoa(i), []byte(payload))
+		require.NoError(t, err)
+	}
+	for i := range testSlots + 1 {
+		g.start(testTask(2, i), `{"run_ms":300}`)
+	}
+	require.Eventually(t, func() bool { return b.Stats().Running == testSlots }, time.Minute, time.Millisecond)
+	a.stop()
+	require.NoError(t, <-a.done)
+	kinds := map[structs.TaskEventKind]int{}
+	for range testSlots + 1 {
+		kinds[(<-g.events).Kind]++
+	}
+	require.Equal(t, map[structs.TaskEventKind]int{structs.TaskFinished: testSlots, structs.TaskWithdrawn: 1}, kinds)
+	stats := b.Stats()
+	require.EqualValues(t, 50+testSlots, stats.Started)
+	require.Zero(t, stats.SlotViolations+stats.ConnectionOverruns+stats.Aborted)
+}
+
+// TestAgentHandlesBackendFaults guards against answers of another task, aborted tasks that keep their slot, and a dead
+// backend server that fails jobs instead of refusing them.
+func TestAgentHandlesBackendFaults(t *testing.T) {
+	g := newFakeGateway(t)
+	a := runTestAgent(t, ProcessOptions{Gateways: []string{g.address()}})
+	b := runTestBackend(t, a)
+	waitLinked(t, g)
+	require.Equal(t, structs.TaskFinished, g.runToEnd(testTask(1, 0), `{}`).Kind)
+	b.SetFaults(standin.BackendFaults{AnswerWrong: true})
+	event := g.runToEnd(testTask(1, 1), `{}`)
+	require.Equal(t, structs.TaskFailed, event.Kind)
+	require.Contains(t, event.Error, "the answer is that of task")
+
+	b.SetFaults(standin.BackendFaults{Hang: true})
+	for i := range testSlots {
+		g.start(testTask(2, i), `{}`)
+	}
+	require.Eventually(t, func() bool { return b.Stats().Running == testSlots }, time.Minute, time.Millisecond)
+	g.send(structs.TypeCancel, structs.Cancel{Epoch: 1, Job: testTask(2, 0).Job})
+	for range testSlots {
+		require.Equal(t, structs.TaskAborted, (<-g.events).Kind)
+	}
+	require.Eventually(t, func() bool { return b.Stats().Aborted == testSlots }, time.Minute, time.Millisecond)
+
+	b.Kill()
+	a.closeClient()
+	g.start(testTask(3, 0), `{}`)
+	event = <-g.events
+	require.Equal(t, structs.TaskRefused, event.Kind)
+	restarted := runTestBackend(t, a)
+	defer restarted.Kill()
+	require.Equal(t, structs.TaskFinished, g.runToEnd(testTask(3, 0), `{}`).Kind)
+}
+
+// TestAgentStartsNothingWithoutAnswers guards against starts on the strength of heartbeats that waited in a socket
+// while the agent was cut off.
+func TestAgentStartsNothingWithoutAnswers(t *testing.T) {
+	g := newFakeGateway(t)
+	a := runTestAgent(t, ProcessOptions{Gateways: []string{g.address()}})
+	b := runTestBackend(t, a)
+	defer b.Kill()
+	waitLinked(t, g)
+	require.Equal(t, structs.TaskFinished, g.runToEnd(testTask(1, 0), `{}`).Kind)
+	g.mu.Lock()
+	g.silent = true
+	g.mu.Unlock()
+	for i := 1; ; i++ {
+		g.send(structs.TypeGatewayHeartbeat, structs.GatewayHeartbeat{Seq: uint64(1000 + i), Epoch: 1, EchoSeq: 1})
+		g.start(testTask(1, i), `{}`)
+		if event := <-g.events; event.Kind == structs.TaskRefused {
+			require.Equal(t, "no fresh heartbeat from a gateway", event.Error)
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	started := b.Stats().Started
+	client := newBackendClient(b.Address(), 1, a.mayStart)
+	defer client.close()
+	for _, payload := range []string{"", "{}", strings.Repeat(" ", 1<<20) + "{}"} {
+		task := structs.TaskStart{Task: testTask(9, 0), Payload: []byte(payload)}
+		require.Equal(t, structs.TaskRefused, client.run(context.Background(), &task, 1).Kind)
+	}
+	require.Equal(t, started, b.Stats().Started)
+}
+
+// TestAgentKeepsOneLinkPerGateway guards against two links that take turns in replacing each other, and against a
+// result that is lost with a broken link.
+func TestAgentKeepsOneLinkPerGateway(t *testing.T) {
+	g := newFakeGateway(t)
+	g.members = []string{g.address(), strings.Replace(g.address(), "127.0.0.1", "localhost", 1)}
+	a := runTestAgent(t, ProcessOptions{Gateways: []string{g.address()}})
+	b := runTestBackend(t, a)
+	defer b.Kill()
+	waitLinked(t, g)
+	require.Eventually(t, func() bool {
+		a.gateways.mu.Lock()
+		defer a.gateways.mu.Unlock()
+		return len(a.gateways.names) == 2 && len(a.gateways.members) == 1
+	}, time.Minute, time.Millisecond)
+	document := testDocument(t, 7, false, false)
+	g.send(structs.TypeConfigDocument, document)
+	g.send(structs.TypeConfigRequest, structs.ConfigRequest{})
+	for message := range g.others {
+		if relayed, ok := message.(*structs.ConfigDocument); ok {
+			require.Equal(t, document, relayed)
+			break
+		}
+	}
+	g.start(testTask(1, 0), `{"run_ms":50}`)
+	require.Eventually(t, func() bool { return b.Stats().Running == 1 }, time.Minute, time.Millisecond)
+	g.mu.Lock()
+	broken, links := g.link, g.links
+	g.mu.Unlock()
+	broken.Abort()
+	require.Equal(t, structs.TaskFinished, (<-g.events).Kind)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	require.Less(t, g.links, links+3, "links replace each other without end")
+}
+
+// TestAnnounceRejectsFaults guards against a backend server that is used with limits or an address that it never
+// meant, and against one agent serving two services.
+func TestAnnounceRejectsFaults(t *testing.T) {
+	a := runTestAgent(t, ProcessOptions{})
+	post := func(body string) int {
+		response, err := http.Post("http://"+a.Address()+"/v1/announce", "application/json", strings.NewReader(body))
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	require.Equal(t, http.StatusBadRequest, post(`{"service":"x"}`))
+	require.Equal(t, http.StatusBadRequest, post(`{`))
+	valid := `{"service":"lending","address":"127.0.0.1:1","slots":8,"connections":64,"name":"oven"}`
+	require.Equal(t, http.StatusNoContent, post(valid))
+	require.Equal(t, http.StatusConflict, post(strings.Replace(valid, "lending", "orders", 1)))
+	http.DefaultClient.CloseIdleConnections()
+}
--- a/internal/agent/api.go
+++ b/internal/agent/api.go
@@ -127,7 +127,11 @@
 
 // Run starts a task at the backend server. The shell checks Fresh again right before it writes the request, and
 // reports the end by Ended.
-type Run struct{ Task structs.TaskStart }
+type Run struct {
+	Task structs.TaskStart
+	// MaxResult bounds the result in bytes.
+	MaxResult int64
+}
 
 // Abort aborts a running task. The shell still reports Ended.
 type Abort struct{ Task structs.TaskRef }
--- /dev/null
+++ b/internal/agent/performer.go
@@ -0,0 +1,123 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"rosedrift.example/rosedrift/internal/link"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// performer carries out the machine's actions. It belongs to the machine's goroutine.
+type performer struct {
+	agent    *Agent
+	aborts   map[structs.TaskRef]context.CancelFunc
+	reported Stats
+	stopped  bool
+}
+
+// step reads the clock, steps the machine and performs its actions.
+func (p *performer) step(machine *Machine, in Input) {
+	if ended, ok := in.(Ended); ok {
+		p.aborts[ended.Task]()
+		delete(p.aborts, ended.Task)
+	}
+	actions := machine.Step(p.agent.clock(), in)
+	p.agent.freshAt.Store(int64(machine.Fresh()))
+	for _, action := range actions {
+		p.perform(action)
+	}
+	if _, ok := in.(Tick); ok {
+		p.publish(machine.Stats())
+	}
+}
+
+func (p *performer) perform(action Action) {
+	switch action := action.(type) {
+	case Send:
+		p.send(action)
+	case Run:
+		p.run(&action)
+	case Abort:
+		p.aborts[action.Task]()
+	case Stopped:
+		p.stopped = true
+	case Warn:
+		_ = level.Warn(p.agent.logger).Log("msg", action.Message, "err", action.Err)
+	}
+}
+
+// send queues a message. A link that takes no more is ended, since the peer would miss an event; the next link gets
+// it again.
+func (p *performer) send(action Send) {
+	l := p.agent.linkOf(action.Link)
+	if l == nil {
+		return
+	}
+	err := l.Send(action.Class, action.Type, action.Message)
+	var failure *link.Error
+	if err == nil || errors.As(err, &failure) && failure.Kind == link.KindClosed {
+		return
+	}
+	_ = level.Error(p.agent.logger).Log("msg", "message not sent, ending the link", "err", err)
+	l.Abort()
+}
+
+// run starts a goroutine for the request of one task. Their number is bounded by the slots.
+func (p *performer) run(action *Run) {
+	a := p.agent
+	ctx, cancel := context.WithCancel(a.running)
+	p.aborts[action.Task.Task] = cancel
+	a.mu.Lock()
+	client := a.client
+	a.mu.Unlock()
+	a.tasks.Go(func() { a.input(client.run(ctx, &action.Task, action.MaxResult)) })
+}
+
+// publish hands the counters to readers, metrics and health.
+func (p *performer) publish(now Stats) {
+	a := p.agent
+	a.stats.Store(&now)
+	scope, before := a.options.Scope, p.reported
+	p.reported = now
+	count := func(name string, now, before uint64) {
+		// Started falls when a task turns out not to have reached the server.
+		if now > before {
+			scope.Counter(name).Inc(int64(now - before))
+		}
+	}
+	count("tasks_started", now.Started, before.Started)
+	count("tasks_finished", now.Finished, before.Finished)
+	count("tasks_failed", now.Failed, before.Failed)
+	count("tasks_aborted", now.Aborted, before.Aborted)
+	count("tasks_refused", now.Refused, before.Refused)
+	count("tasks_withdrawn", now.Withdrawn, before.Withdrawn)
+	count("starts_duplicate", now.Duplicates, before.Duplicates)
+	count("results_evicted", now.Evicted, before.Evicted)
+	scope.Gauge("tasks_running").Update(float64(now.Running))
+	scope.Gauge("tasks_queued").Update(float64(now.Queued))
+	scope.Gauge("slots").Update(float64(now.Slots))
+	scope.Gauge("records").Update(float64(now.Records))
+	scope.Gauge("record_bytes").Update(float64(now.RecordBytes))
+	scope.Gauge("links").Update(float64(now.Links))
+	scope.Gauge("configuration_revision").Update(float64(now.Revision))
+	scope.Gauge("heartbeat_age_seconds").Update((a.clock() - time.Duration(a.freshAt.Load())).Seconds())
+	p.updateHealth(now)
+}
+
+func (p *performer) updateHealth(now Stats) {
+	health := p.agent.options.Health
+	if now.Leaving {
+		health.NotReady(conditionBackend, "the backend server is leaving or has not announced itself for 3 s")
+	} else {
+		health.Ready(conditionBackend)
+	}
+	if now.Links == 0 {
+		health.NotReady(conditionGateway, "no gateway is linked")
+	} else {
+		health.Ready(conditionGateway)
+	}
+}
--- a/internal/agent/starts.go
+++ b/internal/agent/starts.go
@@ -114,7 +114,15 @@
 	m.records.add(task, entry.epoch, entry.task.Priority == structs.Urgent)
 	m.running[keyOf(task)] = &running{queued: *entry, startedAt: m.now}
 	m.stats.Started++
-	m.emit(Run{Task: entry.task})
+	m.emit(Run{Task: entry.task, MaxResult: m.maxResult()})
+}
+
+// maxResult returns the configured bound of a result in bytes.
+func (m *Machine) maxResult() int64 {
+	if m.config.Limits.MaxResultBytes > 0 {
+		return m.config.Limits.MaxResultBytes
+	}
+	return structs.DefaultMaxResultBytes
 }
 
 // drainQueue starts waiting tasks in free slots, urgent ones first, or returns all of them if nothing may start.
