Check the right to start at the first write to the connection

Cause: net/http writes the header before it reads a request body of an unknown reader type, so the check in the body came after the first packet, and each task cost two writes.

The check is now in the connection's Write, and closing the gate keeps an aborted request that was reported as not started from being written later. The body is a reader in memory, which the transport writes with the header.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -287,6 +287,36 @@
 	require.Equal(t, started, b.Stats().Started)
 }
 
+// TestRefusedTaskNeverReachesServer guards against an aborted request that is reported as not started and written
+// afterwards by the transport.
+func TestRefusedTaskNeverReachesServer(t *testing.T) {
+	b, err := standin.NewBackend(standin.BackendOptions{Address: "127.0.0.1:0", Slots: 64, Connections: 64})
+	require.NoError(t, err)
+	defer b.Kill()
+	refused := map[string]bool{}
+	for i := range 50 {
+		ctx, cancel := context.WithCancel(context.Background())
+		client := newBackendClient(b.Address(), 1, func() bool {
+			cancel()
+			return true
+		})
+		task := structs.TaskStart{Task: testTask(1, i), Payload: []byte(`{}`)}
+		refused[strconv.Itoa(i)] = client.run(ctx, &task, 1<<20).Kind == structs.TaskRefused
+		client.close()
+		cancel()
+	}
+	for _, start := range b.Starts(0) {
+		require.False(t, refused[start.Task], "task %s was reported as not started", start.Task)
+	}
+
+	g := &gate{admit: func() bool { return true }}
+	require.True(t, g.close())
+	require.False(t, g.pass(), "a closed gate let a request pass")
+	g = &gate{admit: func() bool { return true }}
+	require.True(t, g.pass())
+	require.False(t, g.close(), "a request that has passed was reported as not sent")
+}
+
 // TestAgentKeepsOneLinkPerGateway guards against two links that take turns in replacing each other, and against a
 // result that is lost with a broken link.
 func TestAgentKeepsOneLinkPerGateway(t *testing.T) {
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync/atomic"
@@ -61,7 +62,7 @@
 		connections: connections,
 		admit:       admit,
 		transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: backendDialTimeout}).DialContext,
+			DialContext:         dialBackend,
 			MaxConnsPerHost:     connections,
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     backendIdleTimeout,
@@ -72,29 +73,79 @@
 
 func (c *backendClient) close() { c.transport.CloseIdleConnections() }
 
-// gate is the body of a request. net/http buffers the header and reads the body before it writes to the connection,
-// so the first Read is the last moment at which a process that was paused can notice it.
+// States of a gate.
+const (
+	gateOpen int32 = iota
+	// gatePassed means that the server may have got bytes of the request.
+	gatePassed
+	// gateClosed means that it has not and will not.
+	gateClosed
+)
+
+// gate guards one request. The right to start is checked when its first bytes are to be written to the connection,
+// the last moment at which a process that was paused can notice it.
 type gate struct {
-	payload *bytes.Reader
 	admit   func() bool
-	// passedAt is when the body was first read, zero if the server got nothing.
-	passedAt atomic.Pointer[time.Time]
+	created time.Time
+	state   atomic.Int32
+	// passedAfter is the time from created to the passing, in nanoseconds.
+	passedAfter atomic.Int64
 }
 
-// Read fails with errStale if nothing may start.
-func (g *gate) Read(p []byte) (int, error) {
-	if g.passedAt.Load() == nil {
-		if !g.admit() {
-			return 0, errStale
-		}
-		now := time.Now()
-		g.passedAt.Store(&now)
+// close keeps a request that has not passed from ever passing. It returns false if the request may have been sent.
+// Without it a request that is aborted before its writing could be reported as not started and then be written.
+func (g *gate) close() bool { return g.state.CompareAndSwap(gateOpen, gateClosed) }
+
+// pass returns whether bytes may be written.
+func (g *gate) pass() bool {
+	if g.state.Load() == gatePassed {
+		return true
+	}
+	if !g.admit() {
+		return false
+	}
+	g.passedAfter.Store(int64(time.Since(g.created)))
+	return g.state.CompareAndSwap(gateOpen, gatePassed)
+}
+
+// runTime returns the time since the passing.
+func (g *gate) runTime() time.Duration {
+	return time.Since(g.created) - time.Duration(g.passedAfter.Load())
+}
+
+// gatedConn is a connection to the backend server. It carries one request at a time.
+type gatedConn struct {
+	net.Conn
+	gate atomic.Pointer[gate]
+}
+
+// Write fails with errStale if the request has not begun and may not start.
+func (c *gatedConn) Write(p []byte) (int, error) {
+	g := c.gate.Load()
+	if g == nil {
+		return c.Conn.Write(p)
+	}
+	first := g.state.Load() == gateOpen
+	if !g.pass() {
+		return 0, errStale
+	}
+	n, err := c.Conn.Write(p)
+	if first && n == 0 {
+		// The server had closed the idle connection; the transport may try another one.
+		g.state.Store(gateOpen)
 	}
-	return g.payload.Read(p)
+	return n, err
 }
 
-// Close implements io.Closer.
-func (g *gate) Close() error { return nil }
+// dialBackend connects to the backend server.
+func dialBackend(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: backendDialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &gatedConn{Conn: conn}, nil
+}
 
 // run runs a task and returns its end. The context aborts it.
 func (c *backendClient) run(ctx context.Context, task *structs.TaskStart, maxResult int64) Ended {
@@ -104,19 +155,19 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	g := &gate{payload: bytes.NewReader(task.Payload), admit: c.admit}
+	g := &gate{admit: c.admit, created: time.Now()}
 	result, err := c.exchange(limited, task, g, maxResult)
 	ended := Ended{Task: task.Task, Kind: structs.TaskFinished, Result: result}
-	passedAt := g.passedAt.Load()
-	if passedAt != nil {
-		ended.RunTime = time.Since(*passedAt)
+	unsent := g.close()
+	if !unsent {
+		ended.RunTime = g.runTime()
 	}
 	if err == nil {
 		return ended
 	}
 	ended.Error = err.Error()
 	switch {
-	case passedAt == nil:
+	case unsent:
 		ended.Kind = structs.TaskRefused
 		ended.Unreachable = isDialError(err)
 	case ctx.Err() != nil:
@@ -138,21 +189,7 @@
 // exchange sends the request once and reads the answer. It uses the transport directly, because http.Client would
 // send the request again on a redirect.
 func (c *backendClient) exchange(ctx context.Context, task *structs.TaskStart, g *gate, maxResult int64) ([]byte, error) {
-	request := (&http.Request{
-		Method:        http.MethodPost,
-		URL:           &url.URL{Scheme: "http", Host: c.address, Path: "/run"},
-		Host:          c.address,
-		Header:        make(http.Header, 3),
-		Body:          g,
-		ContentLength: int64(len(task.Payload)),
-	}).WithContext(ctx)
-	// The transport uses GetBody only if it has written nothing to a connection that the server had closed.
-	request.GetBody = func() (io.ReadCloser, error) {
-		if !c.admit() {
-			return nil, errStale
-		}
-		return &gate{payload: bytes.NewReader(task.Payload), admit: c.admit}, nil
-	}
+	request := c.newRequest(ctx, task.Payload, g)
 	job, index := task.Task.Job.String(), strconv.FormatUint(uint64(task.Task.Index), 10)
 	request.Header[headerJob] = []string{job}
 	request.Header[headerTask] = []string{index}
@@ -161,13 +198,6 @@
 	}
 	reuse := c.echoes.Load()
 	request.Close = !reuse
-	if len(task.Payload) == 0 {
-		// The transport does not read a body of length 0.
-		if _, err := g.Read(nil); errors.Is(err, errStale) {
-			return nil, err
-		}
-		request.Body = http.NoBody
-	}
 	response, err := c.transport.RoundTrip(request)
 	if err != nil {
 		return nil, err
@@ -179,6 +209,35 @@
 	return readAnswer(response, maxResult)
 }
 
+func (c *backendClient) newRequest(ctx context.Context, payload []byte, g *gate) *http.Request {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*gatedConn); ok {
+			conn.gate.Store(g)
+		}
+	}}
+	request := (&http.Request{
+		Method:        http.MethodPost,
+		URL:           &url.URL{Scheme: "http", Host: c.address, Path: "/run"},
+		Host:          c.address,
+		Header:        make(http.Header, 3),
+		Body:          http.NoBody,
+		ContentLength: int64(len(payload)),
+	}).WithContext(httptrace.WithClientTrace(ctx, trace))
+	if len(payload) == 0 {
+		return request
+	}
+	// For a reader in memory the transport writes header and body at once.
+	request.Body = io.NopCloser(bytes.NewReader(payload))
+	// The transport uses GetBody only if it has written nothing to a connection that the server had closed.
+	request.GetBody = func() (io.ReadCloser, error) {
+		if !c.admit() {
+			return nil, errStale
+		}
+		return io.NopCloser(bytes.NewReader(payload)), nil
+	}
+	return request
+}
+
 func (c *backendClient) checkEcho(response *http.Response, job, index string, reused bool) error {
 	gotJob, gotTask := response.Header.Get(headerJob), response.Header.Get(headerTask)
 	if gotJob == job && gotTask == index {
