Split large Results messages and test a paused agent process

Cause: the results of a job may exceed the 64 MB limit of a link message; the link would end at each fetch. Results are sent in messages of about 1 MB.

A test stops an agent process by SIGSTOP for longer than AgentFreshness while heartbeats, ended tasks and a start wait in its sockets. Nothing starts after SIGCONT.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -1,12 +1,18 @@
 package agent
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"os/exec"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,7 +24,32 @@
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// childGateway is the environment variable that makes the test binary an agent linked to that gateway.
+const childGateway = "ROSEDRIFT_TEST_GATEWAY"
+
+func TestMain(m *testing.M) {
+	if address := os.Getenv(childGateway); address != "" {
+		runChild(address)
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// runChild runs an agent until SIGTERM and prints its address first.
+func runChild(gateway string) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	options := ProcessOptions{Listen: "127.0.0.1:0", Gateways: []string{gateway}}
+	options.Self, options.Zone = testSelf, testZone
+	a, err := NewAgent(options)
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println(a.Address())
+	if err := a.Run(ctx); err != nil {
+		panic(err)
+	}
+}
 
 // fakeGateway accepts links and answers heartbeats at once. Events and the other messages go to channels.
 type fakeGateway struct {
@@ -33,6 +64,7 @@
 	members []string
 	links   int
 	leaving bool
+	lastSeq uint64
 	group   sync.WaitGroup
 }
 
@@ -104,6 +136,7 @@
 	_ = link.Decode(e, &beat)
 	g.mu.Lock()
 	g.leaving = beat.Leaving
+	g.lastSeq = beat.Seq
 	silent, epoch := g.silent, g.epoch
 	g.mu.Unlock()
 	if silent {
@@ -176,8 +209,12 @@
 }
 
 func runTestBackend(t *testing.T, a *testAgent) *standin.Backend {
+	return runBackendFor(t, a.Address())
+}
+
+func runBackendFor(t *testing.T, agent string) *standin.Backend {
 	b, err := standin.NewBackend(standin.BackendOptions{
-		Name: "oven", Service: testService, Address: "127.0.0.1:0", Agent: a.Address(), Slots: testSlots, Connections: 64,
+		Name: "oven", Service: testService, Address: "127.0.0.1:0", Agent: agent, Slots: testSlots, Connections: 64,
 	})
 	require.NoError(t, err)
 	return b
@@ -287,6 +324,51 @@
 	require.Equal(t, started, b.Stats().Started)
 }
 
+// TestPausedProcessStartsNothing guards against starts by a process that was stopped for longer than AgentFreshness
+// and, once it runs again, finds heartbeats and free slots waiting in its sockets.
+func TestPausedProcessStartsNothing(t *testing.T) {
+	g := newFakeGateway(t)
+	child := exec.Command(os.Args[0])
+	child.Env = append(os.Environ(), childGateway+"="+g.address())
+	out, err := child.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, child.Start())
+	defer func() {
+		require.NoError(t, child.Process.Signal(syscall.SIGTERM))
+		require.NoError(t, child.Wait())
+	}()
+	address, err := bufio.NewReader(out).ReadString('\n')
+	require.NoError(t, err)
+	b := runBackendFor(t, strings.TrimSpace(address))
+	defer b.Kill()
+	waitLinked(t, g)
+	require.Equal(t, structs.TaskFinished, g.runToEnd(testTask(1, 0), `{}`).Kind)
+	for i := range testSlots + 1 {
+		g.start(testTask(2, i), `{"run_ms":300}`)
+	}
+	require.Eventually(t, func() bool { return b.Stats().Running == testSlots }, time.Minute, time.Millisecond)
+	g.mu.Lock()
+	g.silent = true
+	g.mu.Unlock()
+	require.NoError(t, child.Process.Signal(syscall.SIGSTOP))
+	time.Sleep(structs.AgentFreshness + 100*time.Millisecond)
+	g.mu.Lock()
+	last := g.lastSeq
+	g.mu.Unlock()
+	g.send(structs.TypeGatewayHeartbeat, structs.GatewayHeartbeat{Seq: last, EchoSeq: last, Epoch: 1})
+	g.start(testTask(3, 0), `{}`)
+	require.NoError(t, child.Process.Signal(syscall.SIGCONT))
+	for range testSlots + 2 {
+		event := <-g.events
+		if finished := event.Task.Job == testTask(2, 0).Job && event.Task.Index < testSlots; finished {
+			require.Equal(t, structs.TaskFinished, event.Kind)
+			continue
+		}
+		require.Equal(t, structs.TaskRefused, event.Kind)
+	}
+	require.EqualValues(t, 1+testSlots, b.Stats().Started)
+}
+
 // TestRefusedTaskNeverReachesServer guards against an aborted request that is reported as not started and written
 // afterwards by the transport.
 func TestRefusedTaskNeverReachesServer(t *testing.T) {
--- a/internal/agent/api.go
+++ b/internal/agent/api.go
@@ -36,6 +36,9 @@
 	// CancelMemory is how long starts of a cancelled job are refused. It covers starts overtaken by the cancel
 	// message, which waits behind at most one stalled link.
 	CancelMemory = RedeliveryWindow
+	// MaxResultsBytes is the size of results beyond which a Results message is split. Larger messages would hold
+	// up urgent ones, and the largest jobs exceed link.MaxMessageBytes.
+	MaxResultsBytes = 1 << 20
 	// FlushTimeout bounds the wait of a stopping agent for an owner that takes the last results.
 	FlushTimeout = 10 * time.Second
 )
--- a/internal/agent/machine_test.go
+++ b/internal/agent/machine_test.go
@@ -323,6 +323,23 @@
 	require.Equal(t, structs.TaskFinished, results[0].Events[0].Kind)
 }
 
+// TestFetchedResultsAreSplit guards against a message that exceeds the limit of the link and ends it at each retry.
+func TestFetchedResultsAreSplit(t *testing.T) {
+	m := New(0, Options{Self: testSelf, Zone: testZone})
+	m.Step(0, LinkUp{Link: 1})
+	const count = 70
+	for i := range count {
+		m.records.add(testTask(1, i), 1, false)
+		m.records.end(0, Ended{Task: testTask(1, i), Kind: structs.TaskFinished, Result: make([]byte, 900<<10)})
+	}
+	fetch := Received{Link: 1, Message: &structs.FetchResults{Job: testTask(1, 0).Job}}
+	messages := sentMessages[*structs.Results](m.Step(0, fetch))
+	require.Len(t, messages, count)
+	for i, message := range messages {
+		require.Equal(t, testTask(1, i), message.Events[0].Task)
+	}
+}
+
 func sentMessages[T any](actions []Action) []T {
 	var found []T
 	for _, a := range actions {
--- a/internal/agent/owners.go
+++ b/internal/agent/owners.go
@@ -94,15 +94,22 @@
 	return pool.Service == m.server.Service && (m.promised == 0 || pool == m.pool)
 }
 
-// fetch answers with the ends of all ended tasks of a job.
+// fetch answers with the ends of all ended tasks of a job, in several messages if their results are large.
 func (m *Machine) fetch(l *gatewayLink, message *structs.FetchResults) {
 	results := &structs.Results{Job: message.Job}
+	size := 0
 	if job := m.records.jobs[message.Job.Key]; job != nil {
 		for i := range job.records {
 			r := &job.records[i]
-			if r.state != structs.RecordRunning {
-				results.Events = append(results.Events, r.event(structs.TaskRef{Job: job.id, Index: r.index}))
+			if r.state == structs.RecordRunning {
+				continue
 			}
+			if size > 0 && size+len(r.result) > MaxResultsBytes {
+				m.send(l.id, link.Bulk, structs.TypeResults, results)
+				results, size = &structs.Results{Job: message.Job}, 0
+			}
+			size += len(r.result)
+			results.Events = append(results.Events, r.event(structs.TaskRef{Job: job.id, Index: r.index}))
 		}
 	}
 	m.send(l.id, link.Bulk, structs.TypeResults, results)
