Extend the ownership interface against stale reads and lost records

Purpose: the interface could not express what the recovery rules need. - Members.Revision and ObservedRecord.Revision: a stale list of members hid the lease of a live owner. - Record.Write: reading back could not tell a write from an earlier one with the same content. - Record.Departed and Record.Doubt: agents that left the roster took start records and the memory of a detached owner along, so that a later takeover with a whole roster looked complete. - Record.Previous: an operator's statement about the last owner said nothing about earlier ones that may be detached. All fields are additions.

--- a/internal/ownership/api.go
+++ b/internal/ownership/api.go
@@ -27,6 +27,18 @@
 	// TakeoverWithoutMajority is how long the old owner's lease must have been gone, as watched by the new owner,
 	// before a takeover goes on without a majority.
 	TakeoverWithoutMajority = DetachedLimit + LeaseValid
+	// FenceInterval is the interval of repeated fences.
+	FenceInterval = 200 * time.Millisecond
+	// TakeoverStagger is the time between the attempts of gateways of neighbouring preference.
+	TakeoverStagger = 500 * time.Millisecond
+	// WriteRetry is the time between attempts to write a pool record.
+	WriteRetry = 500 * time.Millisecond
+	// DetachedNotice is the age of the last renewal from which on heartbeats announce a detached owner. It lies
+	// below LeaseValid so that a majority knows before the owner starts tasks without the journal.
+	DetachedNotice = time.Second
+	// RecordRetention outlasts the start records and journal entries of every job admitted before: the retention
+	// period (10 min), the longest deadline (5 min), a journal segment (1 min) and a margin.
+	RecordRetention = 17 * time.Minute
 )
 
 // Record is the pool record in the store, encoded as JSON at the key pools/<service>/<index>.
@@ -35,8 +47,18 @@
 	Epoch  structs.Epoch      `json:"epoch"`
 	Owner  structs.GatewayRef `json:"owner"`
 	Roster []structs.AgentRef `json:"roster"`
-	// Successor is set by a planned handover: the new owner has the old one's snapshot.
+	// Handover is set by a planned handover: the new owner has the old one's snapshot.
 	Handover bool `json:"handover,omitempty"`
+	// Previous lists the owners since the last one that ended its recovery. Each of them may still be detached.
+	Previous []structs.GatewayRef `json:"previous,omitempty"`
+	// Departed is set if an agent left the roster, and took its start records along, less than RecordRetention
+	// ago. A takeover is then incomplete, even if the whole roster answers.
+	Departed bool `json:"departed,omitempty"`
+	// Doubt is set if keys may have been admitted without a journal entry less than RecordRetention ago, and the
+	// agents that knew of the detached owner may have left the roster.
+	Doubt bool `json:"doubt,omitempty"`
+	// Write is unique for every write, so that reading back after a lost answer tells if this write took effect.
+	Write string `json:"write"`
 }
 
 // Input is an event for the machine.
@@ -45,25 +67,35 @@
 // Tick lets time pass, at least every 50 ms.
 type Tick struct{}
 
-// LeaseRenewed reports a successful renewal that was sent at SentAt.
+// LeaseRenewed reports a successful renewal that was sent at SentAt. For a new lease the shell reports it only after
+// the key members/<gateway> is written under the lease, with the time at which the grant was sent.
 type LeaseRenewed struct{ SentAt time.Duration }
 
-// LeaseExpired reports that the store no longer knows the lease: another gateway may own the pools by now.
+// LeaseExpired reports that the store no longer knows the lease: another gateway may own the pools by now. The shell
+// then asks for a new lease.
 type LeaseExpired struct{}
 
-// Members reports the gateways with a live lease in the store, as of the watch.
-type Members struct{ Live []structs.GatewayRef }
+// Members reports the gateways with a live lease in the store, as of the store's revision Revision. A takeover relies
+// on it only if Revision is not below that of the record, so that a stale read cannot hide the lease of an owner.
+type Members struct {
+	Live     []structs.GatewayRef
+	Revision uint64
+}
 
-// ObservedRecord reports a pool record read from the store with its version.
+// ObservedRecord reports a pool record read from the store with its version and the store's revision of the write.
 type ObservedRecord struct {
-	Record  Record
-	Version uint64
+	Record   Record
+	Version  uint64
+	Revision uint64
 }
 
 // PoolConfigured reports a pool of a service of the configuration.
 type PoolConfigured struct{ Pool structs.PoolID }
 
-// PutResult answers PutRecord. With a lost answer the shell reads the record back before it reports.
+// PutResult answers PutRecord. With a lost answer or a conflict the shell reads the record back before it reports: OK
+// if the stored Write is that of the record, whose version it then reports. If
+// OK is false, Record and Version are what it read, or Version is 0 if the key does not exist or could not be read.
+// Record.Pool is always set.
 type PutResult struct {
 	Record  Record
 	OK      bool
@@ -103,10 +135,13 @@
 	Entries []dispatch.JournalEntry
 }
 
-// BacklogWritten reports that every key admitted while detached is now in the journal.
+// BacklogWritten reports that every key admitted while detached is now in the journal. The shell reports it after
+// each ModeChanged to Attached as soon as the journal has nothing unconfirmed, at once if there was nothing to write.
+// Between that check of the journal and this Step no other step of the pool may lie.
 type BacklogWritten struct{ Pool structs.PoolID }
 
-// GatewayGone is an operator's statement that a gateway will never run again.
+// GatewayGone is an operator's statement that a gateway will never run again. If the gateway has restarted since, the
+// statement is about its earlier incarnations.
 type GatewayGone struct{ Gateway structs.GatewayID }
 
 // Release starts a planned handover of a pool to a successor that has accepted the snapshot.
