Add the ownership state machine

The property test runs two or three machines with a fake store and agents that follow the promise rule under cuts, partitions, pauses, restarts, outages, stale reads, lost answers and requests that take effect late. It found that keys known only from start records were lost when their agent left the roster after a complete takeover; the record now carries the doubt in that case.

--- /dev/null
+++ b/internal/ownership/record.go
@@ -0,0 +1,417 @@
+package ownership
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"rosedrift.example/rosedrift/internal/dispatch"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// evaluate performs everything that is due for a pool.
+func (m *Machine) evaluate(p *pool, now time.Duration) {
+	if !p.owned {
+		m.acquire(p, now)
+		return
+	}
+	m.fence(p, now)
+	m.recover(p, now)
+	m.updateFlag(p, now)
+	// A handover suspends the pool before the record names the successor.
+	m.reportMode(p, now)
+	m.maintain(p, now)
+	m.reportEligible(p)
+	p.check()
+}
+
+// check asserts the invariants that hold between steps.
+func (p *pool) check() {
+	switch {
+	case p.epoch != p.record.Epoch:
+		panic("ownership: owned epoch differs from the newest record of " + p.id.String())
+	case p.adopted && p.journal == nil:
+		panic("ownership: recovery ended without the journal of " + p.id.String())
+	case p.writing != nil && p.writing.expect > p.version:
+		panic("ownership: write in flight expects an unknown version of " + p.id.String())
+	case !slices.IsSortedFunc(p.record.Roster, compareAgents):
+		panic("ownership: roster is not sorted in " + p.id.String())
+	}
+}
+
+// put sends a record. At most one write per pool is in flight.
+func (m *Machine) put(p *pool, record Record) {
+	if p.writing != nil {
+		panic("ownership: second write in flight for " + p.id.String())
+	}
+	m.writes++
+	record.Write = m.self.String() + "/" + strconv.FormatUint(m.writes, 10)
+	p.writing = &write{record: record, expect: p.version, lease: m.leases}
+	m.emit(PutRecord{Record: record, Expect: p.version})
+}
+
+// learn takes a record of the store over if it is newer than the known one, and with it ownership or its loss. Stale
+// reads have lower versions, which the store never gives twice.
+func (m *Machine) learn(p *pool, now time.Duration, record Record, version, revision uint64) {
+	if version < p.version || version == 0 {
+		return
+	}
+	if version == p.version {
+		p.revision = max(p.revision, revision)
+		return
+	}
+	record.Roster = slices.Clone(record.Roster)
+	slices.SortFunc(record.Roster, compareAgents)
+	if record.Departed && !slices.Equal(record.Roster, p.record.Roster) {
+		p.departedUntil = now + RecordRetention
+	}
+	previous := p.record
+	p.record = record
+	p.version = version
+	p.revision = revision
+	p.unresolved = nil
+	if record.Owner != previous.Owner || record.Epoch != previous.Epoch {
+		m.changeOwner(p, now)
+	}
+	// The owner had a lease when it wrote the newer version.
+	p.gone = false
+	p.prune()
+}
+
+// changeOwner adapts to the owner and epoch of the record.
+func (m *Machine) changeOwner(p *pool, now time.Duration) {
+	waiveFrom := now
+	if p.gone && !p.record.Handover {
+		waiveFrom = p.goneSince
+	}
+	if p.owned {
+		m.lose(p)
+	}
+	if p.record.Owner == m.self {
+		m.own(p, now, waiveFrom)
+	}
+}
+
+// lose gives the pool up. Links and the write in flight stay as they are.
+func (m *Machine) lose(p *pool) {
+	m.emit(Lost{Pool: p.id, Epoch: p.epoch})
+	p.owned = false
+	p.resetOwner()
+}
+
+// resetOwner clears what is valid only under one epoch.
+func (p *pool) resetOwner() {
+	p.confirmed, p.contact, p.contacted = 0, 0, false
+	p.journal, p.adopted, p.hasMajority, p.majorityAt = nil, false, false, 0
+	p.flag, p.flagSince, p.backlog = false, 0, false
+	p.successor, p.doubtUntil, p.detachedUntil, p.modeReported = nil, 0, 0, false
+	for _, a := range p.agents {
+		a.acked, a.ackSent = false, 0
+		a.reply, a.fenced, a.fencedAt, a.eligible = nil, false, 0, false
+	}
+}
+
+// own begins the recovery under the epoch of the record. A record that another gateway wrote, or that took effect
+// after its answer was given up, is not yet confirmed under the current lease.
+func (m *Machine) own(p *pool, now, waiveFrom time.Duration) {
+	p.resetOwner()
+	p.owned = true
+	p.epoch = p.record.Epoch
+	p.acquired = now
+	p.waiveFrom = waiveFrom
+	p.departedUntil = now + RecordRetention
+	for _, ref := range p.record.Roster {
+		if a := p.agent(ref); !a.linked {
+			a.lostSince = now
+		}
+	}
+	m.emit(Acquired{Pool: p.id, Epoch: p.epoch, Handover: p.record.Handover})
+	m.emit(ReadJournal{Pool: p.id, Epoch: p.epoch})
+}
+
+// applyPut ends the write in flight.
+func (m *Machine) applyPut(p *pool, now time.Duration, in PutResult) {
+	w := p.writing
+	if w == nil {
+		return
+	}
+	p.writing = nil
+	if in.OK {
+		m.learn(p, now, w.record, in.Version, 0)
+		m.confirm(p, w)
+		return
+	}
+	p.retryAt = now + WriteRetry
+	m.learn(p, now, in.Record, in.Version, 0)
+	if p.version == w.expect {
+		p.addUnresolved(*w)
+	}
+}
+
+// confirm notes that the record named this gateway at a time after the lease began.
+func (m *Machine) confirm(p *pool, w *write) {
+	if !p.owned || w.record.Owner != m.self || w.record.Epoch != p.epoch {
+		return
+	}
+	p.confirmed = max(p.confirmed, w.lease)
+	if p.confirmed == m.leases && m.leased {
+		p.contact = m.renewed
+		p.contacted = true
+	}
+}
+
+// addUnresolved keeps a write that may still take effect. Writes with the same roster need no second entry.
+func (p *pool) addUnresolved(w write) {
+	for _, other := range p.unresolved {
+		if slices.Equal(other.record.Roster, w.record.Roster) {
+			return
+		}
+	}
+	p.unresolved = append(p.unresolved, w)
+}
+
+// writable reports whether a write of the record may be sent now.
+func (m *Machine) writable(p *pool, now time.Duration) bool {
+	return p.writing == nil && now >= p.retryAt && m.leaseValid(now)
+}
+
+// acquire takes a pool over whose owner's lease has ended, or creates the record of a new pool.
+func (m *Machine) acquire(p *pool, now time.Duration) {
+	if !p.configured || !m.membersKnown || !m.ownerGone(p, now) || !m.writable(p, now) {
+		return
+	}
+	since := p.configuredAt
+	if p.version > 0 {
+		since = p.goneSince
+	}
+	if now-since < time.Duration(m.rank(p.id))*TakeoverStagger {
+		return
+	}
+	record := p.record
+	record.Epoch++
+	record.Owner = m.self
+	record.Handover = false
+	if p.version > 0 && !slices.Contains(p.record.Previous, p.record.Owner) {
+		record.Previous = append(slices.Clone(p.record.Previous), p.record.Owner)
+	}
+	m.put(p, record)
+}
+
+// ownerGone reports whether the lease of the owner had ended at a time at which the newest record was already stored.
+// An owner with a new lease writes the record again, so that a write which expects this version then fails.
+func (m *Machine) ownerGone(p *pool, now time.Duration) bool {
+	if p.version == 0 {
+		return true
+	}
+	known := p.revision > 0 && m.liveRevision >= p.revision
+	if known && m.live[p.record.Owner] {
+		p.gone = false
+	}
+	if !known || m.live[p.record.Owner] {
+		return false
+	}
+	if !p.gone {
+		p.gone = true
+		p.goneSince = now
+	}
+	return true
+}
+
+// maintain writes the record if it differs from what it should be, or if the current lease is not confirmed by it.
+func (m *Machine) maintain(p *pool, now time.Duration) {
+	if !m.writable(p, now) {
+		return
+	}
+	if p.successor != nil {
+		m.handOver(p)
+		return
+	}
+	record := p.record
+	if p.adopted {
+		record = p.desired(now)
+	}
+	if p.confirmed == m.leases && equalRecords(record, p.record) {
+		return
+	}
+	m.put(p, record)
+}
+
+// handOver names the successor as the owner. The pool is suspended from before this write.
+func (m *Machine) handOver(p *pool) {
+	record := p.record
+	record.Previous = nil
+	record.Doubt = p.record.Doubt || p.backlog || p.doubtUntil > 0
+	record.Epoch++
+	record.Owner = *p.successor
+	record.Handover = true
+	m.put(p, record)
+}
+
+// desired returns the record that the owner wants in the store.
+func (p *pool) desired(now time.Duration) Record {
+	record := p.record
+	record.Previous = nil
+	record.Handover = false
+	record.Roster = p.desiredRoster(now)
+	removed := slices.ContainsFunc(p.record.Roster, func(ref structs.AgentRef) bool {
+		return !contains(record.Roster, ref)
+	})
+	changed := !slices.Equal(record.Roster, p.record.Roster)
+	record.Departed = removed || (p.record.Departed && now < p.departedUntil)
+	unjournaled := p.backlog || now < p.detachedUntil
+	record.Doubt = now < p.doubtUntil || (unjournaled && (changed || p.record.Doubt))
+	return record
+}
+
+// desiredRoster returns the linked agents and those that have not been lost for long enough. Of an agent with several
+// incarnations only the linked ones stay.
+func (p *pool) desiredRoster(now time.Duration) []structs.AgentRef {
+	var roster []structs.AgentRef
+	linked := map[structs.AgentID]bool{}
+	for ref, a := range p.agents {
+		if a.linked {
+			roster = append(roster, ref)
+			linked[ref.ID] = true
+		}
+	}
+	for _, ref := range p.record.Roster {
+		a := p.agent(ref)
+		if !a.linked && !linked[ref.ID] && now-a.lostSince < structs.LostAfter {
+			roster = append(roster, ref)
+		}
+	}
+	slices.SortFunc(roster, compareAgents)
+	return roster
+}
+
+// equalRecords compares everything but the number of the write.
+func equalRecords(a, b Record) bool {
+	return a.Epoch == b.Epoch && a.Owner == b.Owner && a.Handover == b.Handover && a.Departed == b.Departed &&
+		a.Doubt == b.Doubt && slices.Equal(a.Roster, b.Roster) && slices.Equal(a.Previous, b.Previous)
+}
+
+// noteBacklog runs before each input: if the lease had run out, the shell may have started tasks as detached since the
+// last step, although a renewal arrives now.
+func (m *Machine) noteBacklog(p *pool, now time.Duration) {
+	if p.owned && p.adopted && p.flag && !m.attached(p, now) {
+		p.backlog = true
+	}
+}
+
+// updateFlag announces the mode detached early enough and until nothing is left to write.
+func (m *Machine) updateFlag(p *pool, now time.Duration) {
+	fresh := m.attached(p, now) && now-m.renewed < DetachedNotice
+	switch {
+	case !fresh && !p.flag:
+		p.flag = true
+		p.flagSince = now
+	case fresh && !p.backlog:
+		p.flag = false
+	}
+}
+
+// reportEligible reports the agents that may get starts under this epoch.
+func (m *Machine) reportEligible(p *pool) {
+	for _, ref := range p.record.Roster {
+		a := p.agent(ref)
+		m.setEligible(p, ref, a, a.linked && a.reply != nil && p.inRoster(ref))
+	}
+	var outside []structs.AgentRef
+	for ref, a := range p.agents {
+		if a.eligible && !contains(p.record.Roster, ref) {
+			outside = append(outside, ref)
+		}
+	}
+	slices.SortFunc(outside, compareAgents)
+	for _, ref := range outside {
+		m.setEligible(p, ref, p.agents[ref], false)
+	}
+}
+
+func (m *Machine) setEligible(p *pool, ref structs.AgentRef, a *agent, eligible bool) {
+	if a.eligible != eligible {
+		a.eligible = eligible
+		m.emit(EligibleChanged{Pool: p.id, Agent: ref, Eligible: eligible})
+	}
+}
+
+func (m *Machine) reportMode(p *pool, now time.Duration) {
+	mode := m.mode(p, now)
+	if p.modeReported && mode == p.lastMode {
+		return
+	}
+	p.lastMode = mode
+	p.modeReported = true
+	m.emit(ModeChanged{Pool: p.id, Epoch: p.epoch, Mode: mode})
+}
+
+// canWaive reports whether the majority condition is waived: every owner that may still be detached is stated to be
+// gone, or has passed DetachedLimit.
+func (m *Machine) canWaive(p *pool, now time.Duration) bool {
+	if now-p.waiveFrom >= TakeoverWithoutMajority {
+		return true
+	}
+	for _, owner := range p.record.Previous {
+		if !m.gone[owner] {
+			return false
+		}
+	}
+	return len(p.record.Previous) > 0
+}
+
+// fence asks every agent of the roster for its promise until it answers.
+func (m *Machine) fence(p *pool, now time.Duration) {
+	for _, ref := range p.record.Roster {
+		a := p.agent(ref)
+		if a.reply != nil || !a.linked || (a.fenced && now-a.fencedAt < FenceInterval) {
+			continue
+		}
+		a.fenced = true
+		a.fencedAt = now
+		m.emit(SendFence{Agent: ref, Fence: structs.Fence{Pool: p.id, Epoch: p.epoch}})
+	}
+}
+
+// recover ends the recovery when the journal is read and enough agents have promised the epoch.
+func (m *Machine) recover(p *pool, now time.Duration) {
+	if p.adopted {
+		return
+	}
+	promised := func(a *agent) bool { return a.reply != nil }
+	if !p.hasMajority && p.majority(p.record.Roster, promised) {
+		p.hasMajority = true
+		p.majorityAt = now
+	}
+	whole := !slices.ContainsFunc(p.record.Roster, func(ref structs.AgentRef) bool {
+		return !promised(p.agent(ref))
+	})
+	majority := p.hasMajority && now-p.majorityAt >= max(structs.AckLease, CollectWait)
+	waived := !whole && !majority && now-p.acquired >= CollectWait && m.canWaive(p, now)
+	if p.journal != nil && (whole || majority || waived) {
+		m.adopt(p, now, whole, waived)
+	}
+}
+
+// adopt reports what the collection found.
+func (m *Machine) adopt(p *pool, now time.Duration, whole, waived bool) {
+	complete := whole && !p.record.Departed
+	detached := p.record.Doubt
+	adopt := dispatch.Adopt{Complete: complete, Journal: p.journal.Entries}
+	for _, ref := range p.record.Roster {
+		a := p.agents[ref]
+		if a.reply == nil {
+			continue
+		}
+		detached = detached || a.reply.Detached
+		adopt.Records = append(adopt.Records, dispatch.AgentRecords{Agent: ref, Jobs: a.reply.Jobs})
+	}
+	adopt.Doubt = waived || (detached && !complete)
+	p.adopted = true
+	if adopt.Doubt {
+		p.doubtUntil = now + RecordRetention
+	}
+	if detached {
+		p.detachedUntil = now + RecordRetention
+	}
+	m.emit(Adopted{Pool: p.id, Epoch: p.epoch, Adopt: adopt})
+}
