Check the pool against a model of agents over random sequences

Purpose: second starts, partial or crossed answers and false not_run must show up under losses, takeovers, handovers, mode changes and disturbed events. Found by it: an answered job that its records end was given its body again; a refusal of an earlier epoch's start returned a task that a later start had sent (Events.Epoch is new for that); a cancelled adopted job claimed failed while an agent that was not asked ran a task. All three are corrected. Ruled out: reuse of an agent that returned a task, since events carry no attempt number.

--- a/internal/dispatch/adopt.go
+++ b/internal/dispatch/adopt.go
@@ -14,14 +14,14 @@
 	p.collect(in)
 	p.resumeRunning()
 	p.recentTickets = in.Complete
-	if in.Doubt {
-		p.doubtUntil = p.now + p.options.Retention
-	}
-	p.endRecovery()
+	p.endRecovery(in.Doubt)
 }
 
-func (p *Pool) endRecovery() {
+func (p *Pool) endRecovery(doubt bool) {
 	p.adopted = true
+	if doubt {
+		p.doubtUntil = p.now + p.options.Retention
+	}
 	p.adoptedAt = p.now
 	p.noServerSince = p.now
 	p.unseenBy = p.now + structs.LostAfter
@@ -192,11 +192,11 @@
 	}
 }
 
-// Snapshot returns the state of the pool for a planned handover. From then on the pool is suspended: it starts
-// nothing unless SetMode says otherwise, so that the snapshot stays true.
+// Snapshot returns the state of the pool for a planned handover. The caller stops to call Step, so that the snapshot
+// stays true, unless the handover fails. Keys admitted while detached must be in the journal before: the successor
+// journals only the keys of jobs that have not ended.
 func (p *Pool) Snapshot(now time.Duration) []structs.HandoffJob {
 	p.now = max(p.now, now)
-	p.mode = Suspended
 	jobs := make([]structs.HandoffJob, 0, len(p.jobs))
 	for _, ring := range []*jobRing{&p.ended.once, &p.ended.repeatable} {
 		for _, j := range ring.jobs[ring.head:] {
@@ -240,8 +240,8 @@
 	return h
 }
 
-// restore ends a planned handover. The snapshot is the whole knowledge of the previous owner, so that nothing is in
-// doubt. The collection tells which of the sent tasks have started.
+// restore ends a planned handover. The snapshot is the whole knowledge of the previous owner, so that a doubt can only
+// come from an earlier one. The collection tells which of the sent tasks have started.
 func (p *Pool) restore(in Restore) {
 	if p.adopted {
 		return
@@ -252,7 +252,7 @@
 		p.restoreJob(&in.Jobs[i], in.Collection.Complete)
 	}
 	p.resumeRunning()
-	p.endRecovery()
+	p.endRecovery(in.Collection.Doubt)
 }
 
 func (p *Pool) restoreJob(h *structs.HandoffJob, complete bool) {
@@ -275,7 +275,6 @@
 		return
 	}
 	p.restoreTasks(j, h, complete)
-	j.journaled = j.journaled || len(h.Started) > 0
 	p.giveBody(j, sub)
 }
 
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -84,22 +84,13 @@
 	p.refreshAgent(a, false)
 	for len(a.tasks) > 0 {
 		j := a.tasks[len(a.tasks)-1].job
-		p.endJob(j, structs.CodeServerLost, p.outcomeLost(j), "server "+string(ref.ID)+" was lost")
+		p.endJob(j, structs.CodeServerLost, p.outcomeNow(j), "server "+string(ref.ID)+" was lost")
 	}
 	delete(p.agents, ref)
 	p.roster = slices.DeleteFunc(p.roster, func(b *agent) bool { return a == b })
 	p.index.Leave(a.server)
 }
 
-// outcomeLost is the outcome of a job with a task at a lost agent: failed if each started task is known to have
-// ended and only a result is lost.
-func (p *Pool) outcomeLost(j *job) structs.Outcome {
-	if j.sent == 0 {
-		return structs.OutcomeFailed
-	}
-	return structs.OutcomeMayHaveRun
-}
-
 // withdrawQueued asks for the tasks that an agent may hold in its queue. Only the agent knows which of the tasks in
 // flight run, so it is asked for all of them if there are more than slots.
 func (p *Pool) withdrawQueued(a *agent) {
--- a/internal/dispatch/api.go
+++ b/internal/dispatch/api.go
@@ -79,7 +79,10 @@
 // Events carries task events of an agent. Events of an epoch above the pool's are ignored; events of lower epochs
 // are accepted, since adopted tasks were started under them.
 type Events struct {
-	Agent  structs.AgentRef
+	Agent structs.AgentRef
+	// Epoch is TaskEvents.Epoch; 0 stands for the pool's own. A refusal or withdrawal of a lower epoch answers a
+	// start of an earlier owner and proves nothing about a start of this one, so it is ignored.
+	Epoch  structs.Epoch
 	Events []structs.TaskEvent
 }
 
--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -27,9 +27,11 @@
 	switch {
 	case j.sent > 0:
 		return structs.OutcomeMayHaveRun
+	case !j.proven && (j.count == 0 || j.started() < j.count):
+		return structs.OutcomeMayHaveRun
 	case j.started() > 0:
 		return structs.OutcomeFailed
-	case !j.proven || p.mode == Suspended:
+	case p.mode == Suspended:
 		// While the owner is suspended, another one may have taken over and run the job under the same key.
 		return structs.OutcomeMayHaveRun
 	}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -3,23 +3,24 @@
 import (
 	"slices"
 
-	"rosedrift.example/rosedrift/internal/placement"
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
 // handleEvents applies the task events of an agent. Events that do not fit the state are ignored and counted.
 func (p *Pool) handleEvents(in Events) {
 	a, ok := p.agents[in.Agent]
-	if !ok {
+	if !ok || in.Epoch > p.options.Epoch {
 		p.stats.LateEvents += uint64(len(in.Events))
 		return
 	}
 	for i := range in.Events {
-		p.handleEvent(a, &in.Events[i])
+		own := in.Epoch == 0 || in.Epoch == p.options.Epoch
+		p.handleEvent(a, &in.Events[i], own)
 	}
 }
 
-func (p *Pool) handleEvent(a *agent, event *structs.TaskEvent) {
+// handleEvent applies one event. own is false if the event answers a start of an earlier epoch.
+func (p *Pool) handleEvent(a *agent, event *structs.TaskEvent, own bool) {
 	j := p.jobs[event.Task.Job.Key]
 	index := event.Task.Index
 	if j == nil || j.id != event.Task.Job || j.state == jobEnded {
@@ -36,6 +37,10 @@
 	case structs.TaskFailed:
 		p.failed(j, a, event)
 	case structs.TaskRefused, structs.TaskWithdrawn:
+		if !own {
+			p.late(event)
+			return
+		}
 		p.returnTask(j, a, event)
 	case structs.TaskAborted:
 		p.aborted(j, event)
@@ -89,8 +94,15 @@
 }
 
 func (p *Pool) failed(j *job, a *agent, event *structs.TaskEvent) {
+	index := event.Task.Index
+	if j.tasks[index].state == taskRecorded {
+		// The task had finished; its result was dropped before it was fetched.
+		p.endTask(j, index)
+		p.endJob(j, structs.CodeResultGone, p.outcomeNow(j), "an agent has dropped the result of a task")
+		return
+	}
 	p.stats.Failed++
-	p.endTask(j, event.Task.Index)
+	p.endTask(j, index)
 	p.index.Failed(a.server, j.sequence)
 	p.endJob(j, structs.CodeTaskFailed, structs.OutcomeFailed, "a task failed: "+event.Error)
 }
@@ -112,9 +124,9 @@
 	p.detach(j, index)
 	j.tasks[index].state, j.tasks[index].resent = taskWaiting, true
 	if j.excluded == nil {
-		j.excluded = make(map[uint32][]*placement.Server)
+		j.excluded = make(map[uint32][]structs.AgentRef)
 	}
-	j.excluded[index] = append(j.excluded[index], a.server)
+	j.excluded[index] = append(j.excluded[index], a.ref)
 	j.returned = append(j.returned, index)
 	slices.Sort(j.returned)
 	p.countWaiting(j, 1)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -65,9 +65,9 @@
 	results  [][]byte
 	fresh    uint32
 	returned []uint32
-	// excluded lists the servers that have returned a task. Events carry no attempt number, so a late duplicate of
+	// excluded lists the agents that have returned a task. Events carry no attempt number, so a late duplicate of
 	// such an event would pass for the answer to a second start at the same agent.
-	excluded map[uint32][]*placement.Server
+	excluded map[uint32][]structs.AgentRef
 
 	waiting, sent, recorded, finished int
 
@@ -86,7 +86,6 @@
 	answer      *structs.Answer
 	resultBytes int
 	resultsGone bool
-	reason      string
 
 	previous, next *job
 }
@@ -246,8 +245,6 @@
 	}
 }
 
-func (r *jobRing) length() int { return len(r.jobs) - r.head }
-
 // retain keeps an ended job and drops the oldest results beyond the bound.
 func (p *Pool) retain(j *job) {
 	j.endedAt = p.now
--- /dev/null
+++ b/internal/dispatch/model_test.go
@@ -0,0 +1,559 @@
+package dispatch
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"rosedrift.example/rosedrift/internal/placement"
+	"rosedrift.example/rosedrift/internal/structs"
+	_ "rosedrift.example/rosedrift/internal/testseed"
+)
+
+// fakeAgent executes the pool's messages in order, as slowly as the model lets it.
+type fakeAgent struct {
+	update   AgentUpdate
+	linked   bool
+	refusing bool
+	promised structs.Epoch
+	inbox    []Action
+	outbox   []Events
+	records  []*fakeRecord
+	queue    []structs.TaskStart
+	dropped  map[structs.JobID]bool
+}
+
+type fakeRecord struct {
+	task   structs.TaskRef
+	state  structs.RecordState
+	epoch  structs.Epoch
+	result []byte
+}
+
+// model drives pools and agents and knows which task has started how often.
+type model struct {
+	*rapid.T
+	now      time.Duration
+	pool     *Pool
+	epoch    structs.Epoch
+	mode     Mode
+	config   *structs.Configuration
+	agents   []*fakeAgent
+	complete bool
+	waiter   WaiterID
+	pending  map[WaiterID]structs.JobID
+	subs     []*structs.Submission
+	started  map[structs.TaskRef]int
+	notRun   map[structs.JobID]bool
+	journal  []JournalEntry
+	unsaved  []JournalEntry
+	// detached says that keys may have been admitted without a journal entry, backlogLost that an owner ended before
+	// it wrote them.
+	detached, backlogLost bool
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		T: t, epoch: 1, complete: true, config: &structs.Configuration{Revision: 1},
+		pending: map[WaiterID]structs.JobID{}, started: map[structs.TaskRef]int{}, notRun: map[structs.JobID]bool{},
+	}
+	m.config.Teams = map[string]structs.TeamConfig{"bakers": {MaxRunning: 9, MaxQueued: 60}}
+	m.pool = New(0, Options{Pool: testPool, Epoch: 1})
+	m.step(Configure{Config: m.config})
+	m.step(Adopt{Complete: true})
+	m.setMode(Attached)
+	for range 3 {
+		m.join()
+	}
+	return m
+}
+
+func (m *model) intn(n int, label string) int { return rapid.IntRange(0, n-1).Draw(m.T, label) }
+func (m *model) chance(percent int, label string) bool {
+	return m.intn(100, label) < percent
+}
+
+func (m *model) agent(ref structs.AgentRef) *fakeAgent {
+	i := slices.IndexFunc(m.agents, func(a *fakeAgent) bool { return a.update.Agent == ref })
+	require.GreaterOrEqual(m, i, 0, "message to unknown agent %s", ref)
+	return m.agents[i]
+}
+
+// step passes an input and checks each action.
+func (m *model) step(in Input) {
+	for _, action := range m.pool.Step(m.now, in) {
+		switch a := action.(type) {
+		case SendStart:
+			m.checkStart(a)
+			f := m.agent(a.Agent)
+			f.inbox = append(f.inbox, a)
+		case SendWithdraw:
+			f := m.agent(a.Agent)
+			f.inbox = append(f.inbox, a)
+		case SendCancel:
+			f := m.agent(a.Agent)
+			f.inbox = append(f.inbox, a)
+		case SendFetch:
+			f := m.agent(a.Agent)
+			f.inbox = append(f.inbox, a)
+		case Journal:
+			m.unsaved = append(m.unsaved, a.Entries...)
+		case Finish:
+			for _, w := range a.Waiters {
+				m.checkAnswer(w, a.Answer)
+			}
+		case Refuse:
+			m.checkRefusal(a)
+		case Accepted:
+		}
+	}
+	m.checkCounts()
+}
+
+func (m *model) checkStart(a SendStart) {
+	f := m.agent(a.Agent)
+	require.True(m, m.mode == Attached || m.mode == Detached, "start in mode %d", m.mode)
+	require.True(m, f.linked && m.config.ZoneAllows(testPool.Service, f.update.Zone), "start at an agent out of service")
+	for _, task := range a.Start.Tasks {
+		sub := m.sub(task.Task.Job)
+		isSaved := slices.ContainsFunc(m.journal, func(e JournalEntry) bool { return e.Key == task.Task.Job.Key })
+		require.True(m, sub.Ticketed || isSaved || m.detached, "start before the journal entry")
+		require.Equal(m, sub.Payloads[task.Task.Index], task.Payload)
+	}
+}
+
+func (m *model) sub(id structs.JobID) *structs.Submission {
+	i := slices.IndexFunc(m.subs, func(s *structs.Submission) bool { return s.Job == id })
+	return m.subs[i]
+}
+
+func (m *model) startsOf(id structs.JobID) (started, running int) {
+	for i := range m.sub(id).Payloads {
+		started += m.started[structs.TaskRef{Job: id, Index: uint32(i)}]
+	}
+	for _, a := range m.agents {
+		for _, r := range a.records {
+			if r.task.Job == id && r.state == structs.RecordRunning {
+				running++
+			}
+		}
+	}
+	return started, running
+}
+
+func (m *model) checkAnswer(w WaiterID, answer *structs.Answer) {
+	id, ok := m.pending[w]
+	require.True(m, ok, "waiter %d is answered twice", w)
+	require.Equal(m, id, answer.Job, "crossed answer")
+	delete(m.pending, w)
+	started, running := m.startsOf(id)
+	switch answer.Outcome {
+	case structs.OutcomeComplete:
+		require.Equal(m, m.sub(id).Payloads, answer.Results)
+		require.Equal(m, len(answer.Results), started)
+	case structs.OutcomeNotRun:
+		require.Zero(m, started, "not_run after a start")
+		m.notRun[id] = true
+	case structs.OutcomeFailed:
+		require.NotZero(m, started)
+		require.True(m, running == 0 || answer.Problem.Code == structs.CodeTaskFailed, "failed while running")
+	case structs.OutcomePending:
+		require.Fail(m, "answer without an outcome")
+	case structs.OutcomeMayHaveRun:
+	}
+	require.Equal(m, answer.Outcome == structs.OutcomeComplete, answer.Results != nil)
+}
+
+func (m *model) checkRefusal(a Refuse) {
+	id, ok := m.pending[a.Waiter]
+	require.True(m, ok, "waiter %d is answered twice", a.Waiter)
+	delete(m.pending, a.Waiter)
+	if a.Problem.Outcome == structs.OutcomeNotRun && a.Problem.Code != structs.CodeKeyReused {
+		started, _ := m.startsOf(id)
+		require.Zero(m, started, "not_run refusal (%s) after a start", a.Problem.Code)
+	}
+}
+
+// checkCounts compares the pool's sums with its lists.
+func (m *model) checkCounts() {
+	p := m.pool
+	inflight, sent, waiting := 0, 0, 0
+	for _, a := range p.roster {
+		inflight += a.server.Inflight()
+	}
+	for j := p.live.first; j != nil; j = j.next {
+		sent += j.sent
+		waiting += j.waiting
+	}
+	require.Equal(m, p.running, inflight)
+	require.Equal(m, p.running, sent)
+	require.Equal(m, waiting, p.queue.Queued(structs.Urgent)+p.queue.Queued(structs.Routine))
+	require.Equal(m, p.live.length, len(p.timers))
+	require.LessOrEqual(m, p.queue.Running("bakers"), max(9, sent))
+}
+
+// act lets an agent handle its oldest message.
+func (m *model) act(a *fakeAgent) {
+	if len(a.inbox) == 0 {
+		return
+	}
+	message := a.inbox[0]
+	a.inbox = a.inbox[1:]
+	switch message := message.(type) {
+	case SendStart:
+		for _, task := range message.Start.Tasks {
+			m.arrive(a, task, message.Start.Epoch)
+		}
+	case SendWithdraw:
+		for _, ref := range message.Withdraw.Tasks {
+			kind := structs.TaskNotWithdrawn
+			before := len(a.queue)
+			a.queue = slices.DeleteFunc(a.queue, func(s structs.TaskStart) bool { return s.Task == ref })
+			if len(a.queue) < before {
+				kind = structs.TaskWithdrawn
+			}
+			a.report(message.Withdraw.Epoch, event(ref, kind, ""))
+		}
+	case SendCancel:
+		job := message.Cancel.Job
+		a.dropped[job] = true
+		a.queue = slices.DeleteFunc(a.queue, func(s structs.TaskStart) bool { return s.Task.Job == job })
+		for _, r := range a.records {
+			if r.task.Job == job && r.state == structs.RecordRunning {
+				m.end(a, r, structs.TaskAborted)
+			}
+		}
+	case SendFetch:
+		for _, r := range a.records {
+			if r.task.Job == message.Fetch.Job && r.state == structs.RecordFinished {
+				a.report(r.epoch, event(r.task, structs.TaskFinished, string(r.result)))
+			}
+		}
+	}
+}
+
+func (m *model) arrive(a *fakeAgent, task structs.TaskStart, epoch structs.Epoch) {
+	switch {
+	case epoch != a.promised || a.refusing || a.dropped[task.Task.Job]:
+		a.report(epoch, event(task.Task, structs.TaskRefused, ""))
+	case a.running() < a.update.Slots:
+		m.launch(a, task, epoch)
+	case len(a.queue) < placement.QueueBound:
+		a.queue = append(a.queue, task)
+	default:
+		a.report(epoch, event(task.Task, structs.TaskRefused, ""))
+	}
+}
+
+func (a *fakeAgent) report(epoch structs.Epoch, e structs.TaskEvent) {
+	a.outbox = append(a.outbox, Events{Agent: a.update.Agent, Epoch: epoch, Events: []structs.TaskEvent{e}})
+}
+
+func (a *fakeAgent) running() int {
+	running := 0
+	for _, r := range a.records {
+		if r.state == structs.RecordRunning {
+			running++
+		}
+	}
+	return running
+}
+
+func (m *model) launch(a *fakeAgent, task structs.TaskStart, epoch structs.Epoch) {
+	m.started[task.Task]++
+	require.Equal(m, 1, m.started[task.Task], "second start of task %d", task.Task.Index)
+	require.False(m, m.notRun[task.Task.Job], "start after not_run")
+	r := &fakeRecord{task: task.Task, state: structs.RecordRunning, epoch: epoch, result: task.Payload}
+	a.records = append(a.records, r)
+}
+
+func (m *model) end(a *fakeAgent, r *fakeRecord, kind structs.TaskEventKind) {
+	r.state = structs.RecordFailed
+	if kind == structs.TaskFinished {
+		r.state = structs.RecordFinished
+	}
+	a.report(r.epoch, event(r.task, kind, string(r.result)))
+	for len(a.queue) > 0 && a.running() < a.update.Slots {
+		next := a.queue[0]
+		a.queue = a.queue[1:]
+		m.launch(a, next, a.promised)
+	}
+}
+
+func (m *model) endAny(a *fakeAgent, kind structs.TaskEventKind) {
+	for _, r := range a.records {
+		if r.state == structs.RecordRunning {
+			m.end(a, r, kind)
+			return
+		}
+	}
+}
+
+// deliver passes one event of an agent, now and then out of order or twice.
+func (m *model) deliver(a *fakeAgent, disturb bool) {
+	if len(a.outbox) == 0 {
+		return
+	}
+	i, keep := 0, false
+	if disturb {
+		i, keep = m.intn(min(len(a.outbox), 4), "event"), m.chance(20, "duplicate")
+	}
+	e := a.outbox[i]
+	if !keep {
+		a.outbox = slices.Delete(a.outbox, i, i+1)
+	}
+	m.step(e)
+}
+
+func (m *model) join() {
+	update := testAgent(len(m.agents))
+	update.Slots = 1 + len(m.agents)%3
+	a := &fakeAgent{update: update, dropped: map[structs.JobID]bool{}}
+	m.agents = append(m.agents, a)
+	m.link(a)
+}
+
+// link fences an agent and reports it as eligible.
+func (m *model) link(a *fakeAgent) {
+	if a.promised != m.epoch {
+		a.promised, a.queue = m.epoch, nil
+	}
+	a.linked = true
+	m.step(a.update)
+}
+
+func (m *model) lose(a *fakeAgent) {
+	if a.linked {
+		a.linked, m.complete = false, false
+		m.step(AgentLost{Agent: a.update.Agent})
+	}
+}
+
+func (m *model) setMode(mode Mode) {
+	m.mode = mode
+	m.detached = m.detached || mode == Detached
+	m.step(SetMode{Mode: mode})
+}
+
+func (m *model) save() {
+	keys := make([]structs.KeyHash, 0, len(m.unsaved))
+	for _, e := range m.unsaved {
+		keys = append(keys, e.Key)
+	}
+	m.journal = append(m.journal, m.unsaved...)
+	m.unsaved = nil
+	m.detached = m.mode == Detached
+	m.step(Journaled{Keys: keys})
+}
+
+func (m *model) submitNew() {
+	sub := submission("job-"+strconv.Itoa(len(m.subs)), 1+m.intn(6, "tasks"))
+	sub.Ticketed = m.chance(40, "ticketed")
+	sub.TicketEpoch = m.epoch
+	sub.Repeatable = m.chance(70, "repeatable")
+	sub.Priority = structs.Priority(m.intn(2, "priority"))
+	sub.Deadline = time.Duration(5+m.intn(60, "deadline")) * time.Second
+	sub.Digest = sub.BodyDigest()
+	m.subs = append(m.subs, sub)
+	m.submit(sub)
+}
+
+func (m *model) newWaiter(id structs.JobID) WaiterID {
+	m.waiter++
+	m.pending[m.waiter] = id
+	return m.waiter
+}
+
+// submit presents a submission. An owner that does not remember the key may run a job that was answered not_run.
+func (m *model) submit(sub *structs.Submission) {
+	if status, ok := m.pool.Status(sub.Job, m.now); !ok || status.Outcome == structs.OutcomePending {
+		delete(m.notRun, sub.Job)
+	}
+	m.step(Submit{Submission: sub, Waiter: m.newWaiter(sub.Job)})
+}
+
+// takeover replaces the pool: the agents that answer the fence give their records, and with handover the old pool
+// gives its snapshot.
+func (m *model) takeover(handover bool) {
+	if handover && m.detached {
+		m.setMode(Attached)
+		m.save()
+	}
+	m.epoch++
+	adopt := Adopt{Journal: m.journal}
+	var joined []*fakeAgent
+	for _, a := range m.agents {
+		if !a.linked || m.chance(10, "silent") {
+			a.linked, m.complete = false, false
+			continue
+		}
+		a.promised, a.queue = m.epoch, nil
+		adopt.Records = append(adopt.Records, a.answer())
+		joined = append(joined, a)
+	}
+	adopt.Complete = m.complete
+	m.backlogLost = m.backlogLost || m.detached
+	m.detached = false
+	adopt.Doubt = m.backlogLost && !m.complete
+	for _, e := range m.journal {
+		if m.chance(50, "recent") {
+			adopt.RecentOnce = append(adopt.RecentOnce, e.Key)
+		}
+	}
+	jobs := m.pool.Snapshot(m.now)
+	clear(m.pending)
+	m.unsaved = nil
+	m.pool = New(m.now, Options{Pool: testPool, Epoch: m.epoch})
+	m.mode = Recovering
+	m.step(Configure{Config: m.config})
+	if len(m.subs) > 0 {
+		m.submit(m.subs[m.intn(len(m.subs), "held")])
+	}
+	early := m.chance(50, "early")
+	for _, a := range joined {
+		if early {
+			m.step(a.update)
+		}
+	}
+	if handover {
+		m.step(Restore{Jobs: jobs, Collection: adopt})
+	} else {
+		m.step(adopt)
+	}
+	m.setMode(Attached)
+	for _, a := range joined {
+		m.step(a.update)
+	}
+}
+
+// answer returns the start records of an agent, in order of the jobs' first records.
+func (a *fakeAgent) answer() AgentRecords {
+	answer := AgentRecords{Agent: a.update.Agent}
+	for _, r := range a.records {
+		key := r.task.Job.Key
+		i := slices.IndexFunc(answer.Jobs, func(j structs.JobRecords) bool { return j.Key == key })
+		if i < 0 {
+			i = len(answer.Jobs)
+			answer.Jobs = append(answer.Jobs, structs.JobRecords{Key: key})
+		}
+		answer.Jobs[i].Tasks = append(answer.Jobs[i].Tasks, structs.TaskRecord{Index: r.task.Index, State: r.state})
+	}
+	return answer
+}
+
+func (m *model) toggleZone() {
+	next := *m.config
+	next.Revision++
+	next.Zones = map[string]structs.ZoneConfig{}
+	for _, zone := range []string{"catania", "palermo", "siracusa"} {
+		if m.chance(30, "out") {
+			next.Zones[zone] = structs.ZoneConfig{State: structs.ZoneOut}
+		}
+	}
+	m.config = &next
+	m.step(Configure{Config: m.config})
+}
+
+// known applies an operation to a submission that was made before.
+func (m *model) known(operation int) {
+	if len(m.subs) == 0 {
+		return
+	}
+	sub := m.subs[m.intn(len(m.subs), "known")]
+	switch operation {
+	case 0:
+		m.submit(sub)
+	case 1:
+		other := *sub
+		other.Digest[0]++
+		if !sub.Ticketed {
+			// A ticket's digest is known only to the pool that admitted it.
+			if _, ok := m.pool.Status(sub.Job, m.now); ok && m.pool.jobs[sub.Job.Key].hasDigest {
+				m.submit(&other)
+			}
+		}
+	case 2:
+		m.step(CancelJob{Job: sub.Job, Waiter: m.newWaiter(sub.Job)})
+	case 3:
+		m.step(Wait{Job: sub.Job, Waiter: m.newWaiter(sub.Job)})
+	}
+}
+
+func (m *model) operate() {
+	a := m.agents[m.intn(len(m.agents), "agent")]
+	switch op := m.intn(100, "operation"); {
+	case op < 15:
+		m.submitNew()
+	case op < 22:
+		m.known(m.intn(4, "of known"))
+	case op < 45:
+		m.act(a)
+	case op < 60:
+		m.endAny(a, structs.TaskFinished)
+	case op < 61:
+		m.endAny(a, structs.TaskFailed)
+	case op < 80:
+		m.deliver(a, true)
+	case op < 84:
+		m.save()
+	case op < 88:
+		m.now += time.Duration(m.intn(3000, "ms")) * time.Millisecond
+		m.step(Tick{})
+	case op < 89:
+		m.lose(a)
+	case op < 91:
+		m.link(a)
+	case op < 92:
+		m.join()
+	case op < 94:
+		a.refusing = !a.refusing
+	case op < 96:
+		m.toggleZone()
+	case op < 98:
+		m.setMode([]Mode{Attached, Attached, Detached, Suspended}[m.intn(4, "mode")])
+	default:
+		m.takeover(m.chance(40, "handover"))
+	}
+}
+
+// settle lets all work end and checks that every caller gets an answer.
+func (m *model) settle() {
+	m.config = &structs.Configuration{Revision: m.config.Revision + 1}
+	m.step(Configure{Config: m.config})
+	m.setMode(Attached)
+	for range 100 {
+		m.save()
+		for _, a := range m.agents {
+			a.refusing = false
+			for len(a.inbox) > 0 {
+				m.act(a)
+			}
+			m.endAny(a, structs.TaskFinished)
+			for len(a.outbox) > 0 {
+				m.deliver(a, false)
+			}
+		}
+		m.now += 700 * time.Millisecond
+		m.step(Tick{})
+	}
+	m.now += 15 * time.Minute
+	m.step(Tick{})
+	require.Empty(m, m.pending, "callers without an answer")
+	require.Zero(m, m.pool.Stats().Running)
+}
+
+// TestPoolKeepsItsPromises guards against second starts, partial and crossed answers and false not_run over random
+// sequences of submissions, events, losses, configuration changes, mode changes and takeovers.
+func TestPoolKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range rapid.IntRange(20, 400).Draw(t, "length") {
+			m.operate()
+		}
+		m.settle()
+	})
+}
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -54,7 +54,7 @@
 func (p *Pool) startReturned(j *job) bool {
 	index := j.returned[0]
 	j.returned = j.returned[1:]
-	a := p.choose(j, j.excluded[index])
+	a := p.choose(j, p.servers(j.excluded[index]))
 	if a == nil {
 		j.returned = append(j.returned, index)
 		return false
@@ -63,6 +63,17 @@
 	return true
 }
 
+// servers returns the servers of the agents that are still known.
+func (p *Pool) servers(refs []structs.AgentRef) []*placement.Server {
+	list := make([]*placement.Server, 0, len(refs))
+	for _, ref := range refs {
+		if a, ok := p.agents[ref]; ok {
+			list = append(list, a.server)
+		}
+	}
+	return list
+}
+
 // park takes a job out of the queue for a moment if each server that could take its tasks has returned them before.
 func (p *Pool) park(j *job) bool {
 	if p.choose(j, nil) == nil {
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -84,9 +84,16 @@
 	p.addWaiter(j, in.Waiter)
 	p.accept(j, in.Waiter)
 	if j.state == jobBodiless {
-		p.setDue(j, p.now+p.deadline(in.Submission))
-		p.materialize(j)
-		p.giveBody(j, in.Submission)
+		p.presentBody(j, in.Submission)
+	}
+}
+
+// presentBody continues an adopted job, unless its records show that it has ended.
+func (p *Pool) presentBody(j *job, sub *structs.Submission) {
+	p.setDue(j, p.now+p.deadline(sub))
+	p.materialize(j)
+	if j.state != jobEnded {
+		p.giveBody(j, sub)
 	}
 }
 
@@ -298,7 +305,6 @@
 	p.addWaiter(j, in.Waiter)
 	if j.state == jobBodiless {
 		p.materialize(j)
-		p.completeIfDone(j)
 	}
 }
 
--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -329,9 +329,7 @@
 	set := x.set(need)
 	x.exclude(set, excluded)
 	number := k.fastest(set, x.turn)
-	for _, s := range excluded {
-		x.restore(s)
-	}
+	x.restore(excluded)
 	return x.at(number)
 }
 
@@ -342,9 +340,7 @@
 	if len(x.servers) > 0 {
 		number = x.room.next(x.random.IntN(len(x.servers)))
 	}
-	for _, s := range excluded {
-		x.restore(s)
-	}
+	x.restore(excluded)
 	return x.at(number)
 }
 
@@ -352,23 +348,19 @@
 func (x *Index) Next(excluded []*Server) *Server {
 	x.exclude(&x.free, excluded)
 	number := x.free.next(x.cursor)
-	for _, s := range excluded {
-		x.restore(s)
-	}
+	x.restore(excluded)
 	x.cursor = number + 1
 	return x.at(number)
 }
 
 func (x *Index) exclude(set *bitset, excluded []*Server) {
 	for _, s := range excluded {
-		if !s.gone {
-			set.clear(s.number)
-		}
+		set.clear(s.number)
 	}
 }
 
-func (x *Index) restore(s *Server) {
-	if !s.gone {
+func (x *Index) restore(excluded []*Server) {
+	for _, s := range excluded {
 		x.refresh(s)
 	}
 }
