--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -144,6 +144,8 @@
 	Document string `json:"document,omitempty"`
 	// Revision is the revision that the command created, 0 if it changed nothing.
 	Revision structs.Revision `json:"revision,omitempty"`
+	// AcceptedAt is the accepting gateway's time, set with Revision.
+	AcceptedAt time.Time `json:"accepted_at,omitzero"`
 	// InForce is set if the command created a revision.
 	InForce *configuration.ForceStatus `json:"in_force,omitempty"`
 	// DryRun is true if the command would have changed something and was not executed.
--- /dev/null
+++ b/internal/admin/handler.go
@@ -0,0 +1,250 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"rosedrift.example/rosedrift/internal/configuration"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Bounds of the HTTP interface.
+const (
+	// MaxRequestBytes bounds a command with the text of an import, which describes at most one stored document.
+	MaxRequestBytes = 4 << 20
+	// MaxInForceWait bounds the wait of one in-force request; clients repeat it.
+	MaxInForceWait = 10 * time.Second
+	// inForcePoll is well below what an operator notices.
+	inForcePoll        = 50 * time.Millisecond
+	defaultHistoryPage = 50
+	jsonType           = "application/json"
+)
+
+// Authorizer tells who sends a request. auth.Keys implements it.
+type Authorizer interface {
+	// Operator returns the operator, or a problem with CodeUnauthorized.
+	Operator(r *http.Request) (Caller, *structs.Problem)
+}
+
+// Options configures a Handler. All fields are required.
+type Options struct {
+	System     System
+	Executor   Executor
+	Authorizer Authorizer
+	Logger     log.Logger
+}
+
+// Handler is the admin side of a gateway's HTTP interface.
+type Handler struct{ Options }
+
+// NewHandler returns a Handler.
+func NewHandler(options Options) *Handler { return &Handler{options} }
+
+// Register adds the routes: /v1/admin/commands, config, audit, complete and in-force, and the status page at /.
+func (h *Handler) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/admin/commands", h.guard(h.command))
+	mux.HandleFunc("GET /v1/admin/config", h.guard(h.config))
+	mux.HandleFunc("GET /v1/admin/audit", h.guard(h.audit))
+	mux.HandleFunc("GET /v1/admin/complete", h.guard(h.complete))
+	mux.HandleFunc("GET /v1/admin/in-force", h.guard(h.inForce))
+	mux.HandleFunc("GET /{$}", h.guard(h.status))
+}
+
+type handlerFunc func(w http.ResponseWriter, r *http.Request, caller Caller) *structs.Problem
+
+// guard authenticates the request and requires RoleView; the executor checks the role of each command.
+func (h *Handler) guard(next handlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		caller, problem := h.Authorizer.Operator(r)
+		if problem == nil && caller.Role < RoleView {
+			problem = &structs.Problem{Code: structs.CodeForbidden, Status: http.StatusForbidden,
+				Outcome: structs.OutcomeNotRun, Detail: "this needs the role " + RoleView.String()}
+		}
+		if problem == nil {
+			problem = next(w, r, caller)
+		}
+		if problem != nil {
+			writeProblem(w, problem)
+		}
+	}
+}
+
+func (h *Handler) command(w http.ResponseWriter, r *http.Request, caller Caller) *structs.Problem {
+	request, problem := readRequest(w, r)
+	if problem != nil {
+		return problem
+	}
+	result, problem := h.Executor.Execute(r.Context(), caller, request)
+	h.logCommand(caller, request, result, problem)
+	if problem != nil {
+		return problem
+	}
+	writeJSON(w, result)
+	return nil
+}
+
+// readRequest requires the JSON media type: a browser does not send it across sites without asking first, so that
+// a foreign page cannot use an operator's session.
+func readRequest(w http.ResponseWriter, r *http.Request) (Request, *structs.Problem) {
+	media, _, _ := strings.Cut(r.Header.Get("Content-Type"), ";")
+	if strings.TrimSpace(media) != jsonType {
+		return Request{}, badRequest("the body must have the type " + jsonType)
+	}
+	request := Request{}
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxRequestBytes)).Decode(&request)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return Request{}, &structs.Problem{Code: structs.CodeTooLarge, Status: http.StatusRequestEntityTooLarge,
+			Outcome: structs.OutcomeNotRun, Detail: "the request is larger than " + strconv.Itoa(MaxRequestBytes) + " bytes"}
+	case err != nil:
+		return Request{}, badRequest("the body is not JSON with a command")
+	}
+	return request, nil
+}
+
+func (h *Handler) logCommand(caller Caller, request Request, result *Result, problem *structs.Problem) {
+	logger := log.With(h.Logger, "operator", caller.Name, "command", request.Command, "dry_run", request.DryRun)
+	switch {
+	case problem != nil:
+		_ = level.Info(logger).Log("msg", "command refused", "code", problem.Code, "outcome", problem.Outcome)
+	case result.Revision > 0:
+		_ = level.Info(logger).Log("msg", "configuration changed", "revision", result.Revision)
+	default:
+		_ = level.Debug(logger).Log("msg", "command done")
+	}
+}
+
+func (h *Handler) config(w http.ResponseWriter, r *http.Request, _ Caller) *structs.Problem {
+	document := h.System.Config()
+	if r.URL.Query().Get("format") != "text" {
+		writeJSON(w, document)
+		return nil
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = io.WriteString(w, configuration.Export(document))
+	return nil
+}
+
+func (h *Handler) audit(w http.ResponseWriter, r *http.Request, _ Caller) *structs.Problem {
+	before, problem := uintParameter(r, "before", 0)
+	if problem != nil {
+		return problem
+	}
+	limit, problem := uintParameter(r, "limit", defaultHistoryPage)
+	if problem != nil {
+		return problem
+	}
+	page, err := h.System.History(r.Context(), structs.Revision(before), int(min(limit, configuration.MaxHistoryPage)))
+	if err != nil {
+		return configuration.Problem(err)
+	}
+	writeJSON(w, page)
+	return nil
+}
+
+func uintParameter(r *http.Request, name string, missing uint64) (uint64, *structs.Problem) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return missing, nil
+	}
+	value, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, badRequest(name + " is not a whole number")
+	}
+	return value, nil
+}
+
+// Completion answers GET /v1/admin/complete?line=.
+type Completion struct {
+	Candidates []string `json:"candidates"`
+}
+
+func (h *Handler) complete(w http.ResponseWriter, r *http.Request, _ Caller) *structs.Problem {
+	candidates := h.Executor.Complete(r.Context(), r.URL.Query().Get("line"))
+	if candidates == nil {
+		candidates = []string{}
+	}
+	writeJSON(w, Completion{Candidates: candidates})
+	return nil
+}
+
+// InForceAnswer answers GET /v1/admin/in-force?revision=&wait_ms=, which waits until the revision is in force or the
+// time is over.
+type InForceAnswer struct {
+	configuration.ForceStatus
+	// At is the gateway's time of the status. For a revision in force it is at most 50 ms late.
+	At time.Time `json:"at"`
+}
+
+func (h *Handler) inForce(w http.ResponseWriter, r *http.Request, _ Caller) *structs.Problem {
+	revision, problem := uintParameter(r, "revision", uint64(h.System.Config().Revision))
+	if problem != nil {
+		return problem
+	}
+	milliseconds, problem := uintParameter(r, "wait_ms", 0)
+	if problem != nil {
+		return problem
+	}
+	wait := time.Duration(min(milliseconds, uint64(MaxInForceWait.Milliseconds()))) * time.Millisecond
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	status := h.awaitInForce(ctx, structs.Revision(revision))
+	writeJSON(w, InForceAnswer{ForceStatus: status, At: time.Now().UTC()})
+	return nil
+}
+
+func (h *Handler) awaitInForce(ctx context.Context, revision structs.Revision) configuration.ForceStatus {
+	ticker := time.NewTicker(inForcePoll)
+	defer ticker.Stop()
+	for {
+		status := h.System.InForce(ctx, revision)
+		if status.InForce {
+			return status
+		}
+		select {
+		case <-ctx.Done():
+			return status
+		case <-ticker.C:
+		}
+	}
+}
+
+// ProblemBody is the problem detail (RFC 9457) of an error.
+type ProblemBody struct {
+	Title   string       `json:"title"`
+	Status  int          `json:"status"`
+	Detail  string       `json:"detail"`
+	Code    structs.Code `json:"code"`
+	Outcome string       `json:"outcome"`
+}
+
+func writeProblem(w http.ResponseWriter, problem *structs.Problem) {
+	if problem.Code == structs.CodeUnauthorized {
+		// The header lets a browser ask for the key of the status page, as a password.
+		w.Header().Set("WWW-Authenticate", `Basic realm="rosedrift: the key is the password"`)
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(problem.Status)
+	_ = json.NewEncoder(w).Encode(ProblemBody{Title: http.StatusText(problem.Status), Status: problem.Status,
+		Detail: problem.Detail, Code: problem.Code, Outcome: problem.Outcome.String()})
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", jsonType)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func badRequest(detail string) *structs.Problem {
+	return &structs.Problem{Code: structs.CodeBadRequest, Status: http.StatusBadRequest,
+		Outcome: structs.OutcomeNotRun, Detail: detail}
+}
--- a/internal/configuration/api.go
+++ b/internal/configuration/api.go
@@ -98,7 +98,8 @@
 // AuditState says whether an audit entry became part of the configuration.
 type AuditState string
 
-// The audit states. An undecided entry is newer than the document: its change is under way or was given up.
+// The audit states. An undecided entry is newer than the document that was read: its change is under way or was given
+// up, or the store answered with an old state.
 const (
 	AuditAccepted    AuditState = "accepted"
 	AuditNotAccepted AuditState = "not accepted"
--- a/internal/configuration/audit.go
+++ b/internal/configuration/audit.go
@@ -104,17 +104,18 @@
 }
 
 func auditState(entries []AuditEntry, entry AuditEntry, now *structs.Configuration) AuditState {
-	accepted := provenBy(entries, entry)
 	switch {
-	case entry.Revision > now.Revision:
-		return AuditUndecided
-	case entry.Revision == now.Revision:
-		accepted = entry.Change.ID == now.Change.ID
-	}
-	if accepted {
+	case entry.Revision == now.Revision && entry.Change.ID == now.Change.ID, provenBy(entries, entry):
 		return AuditAccepted
+	case entry.Revision == now.Revision, entry.Revision < now.Revision && hasRevision(entries, entry.Revision+1):
+		return AuditNotAccepted
 	}
-	return AuditNotAccepted
+	// A stale list can lack the entries of the next revision.
+	return AuditUndecided
+}
+
+func hasRevision(entries []AuditEntry, revision structs.Revision) bool {
+	return slices.ContainsFunc(entries, func(entry AuditEntry) bool { return entry.Revision == revision })
 }
 
 // auditEntries returns the entries with from <= revision <= to in key order. An entry that cannot be decoded is
--- a/internal/query/change.go
+++ b/internal/query/change.go
@@ -114,7 +114,7 @@
 	status := x.system.InForce(ctx, document.Revision)
 	text := append([]string{planned.done}, planned.effects...)
 	text = append(text, fmt.Sprintf("Accepted as revision %d at %s.", document.Revision, timeText(document.Change.Time)))
-	return &admin.Result{Text: text, Revision: document.Revision, InForce: &status}, nil
+	return &admin.Result{Text: text, Revision: document.Revision, AcceptedAt: document.Change.Time, InForce: &status}, nil
 }
 
 // commandText is the command as the audit entry keeps it; the text of an import is in the entry's diff.
--- a/internal/query/sentences.go
+++ b/internal/query/sentences.go
@@ -279,6 +279,11 @@
 	return slices.Compact(found)
 }
 
+// CompleteOffline returns the candidates that need no gateway: all but the names of zones, servers and the like.
+func CompleteOffline(line string) []string {
+	return complete(line, func(slot) []string { return nil })
+}
+
 func candidates(s slot, taken int, words []string, names func(slot) []string) []string {
 	switch {
 	case s.isLiteral():
