Accept 'gateway NAME gone' for gateways that left the list, ask for the majority of removed pools

And a change that removes a service asked for a majority of the new document's pools only, so a detached owner of the removed ones could be missed.

Commands that change something without a revision are now logged at level info.

--- a/cmd/rosedrift/execute.go
+++ b/cmd/rosedrift/execute.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -47,7 +48,7 @@
 		}
 		return s.problem(err)
 	}
-	for _, sentence := range preview.Text {
+	for _, sentence := range slices.Concat(preview.Text, preview.Notes) {
 		_, _ = fmt.Fprintln(s.err, printable(sentence))
 	}
 	_, _ = fmt.Fprintf(s.err, "%s: go on? [y/N] ", request.Command)
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -148,6 +148,8 @@
 	AcceptedAt time.Time `json:"accepted_at,omitzero"`
 	// InForce is set if the command created a revision.
 	InForce *configuration.ForceStatus `json:"in_force,omitempty"`
+	// Changed is true if the command changed something, also if that is no revision.
+	Changed bool `json:"changed,omitempty"`
 	// DryRun is true if the command would have changed something and was not executed.
 	DryRun bool `json:"dry_run,omitempty"`
 }
--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -117,8 +117,8 @@
 	switch {
 	case problem != nil:
 		_ = level.Info(logger).Log("msg", "command refused", "code", problem.Code, "outcome", problem.Outcome)
-	case result.Revision > 0:
-		_ = level.Info(logger).Log("msg", "configuration changed", "revision", result.Revision)
+	case result.Changed:
+		_ = level.Info(logger).Log("msg", "command changed something", "revision", result.Revision)
 	default:
 		_ = level.Debug(logger).Log("msg", "command done")
 	}
--- a/internal/configuration/author.go
+++ b/internal/configuration/author.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -31,7 +32,8 @@
 
 // AuthorOptions configures an Author. The zero value is valid.
 type AuthorOptions struct {
-	// Majority returns the pools of which this gateway does not hear a majority of the roster. Nil means none.
+	// Majority returns the pools of a document of which this gateway does not hear a majority of the roster. Nil means
+	// none.
 	Majority func(document *structs.Configuration) []structs.PoolID
 	// Now is the wall clock of the audit trail; it decides nothing. Nil means time.Now.
 	Now func() time.Time
@@ -83,22 +85,29 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := a.checkMajority(next); err != nil {
+	if err := a.checkMajority(base.document, next); err != nil {
 		return nil, err
 	}
 	if err := a.writeAudit(ctx, base.document, next); err != nil {
 		return nil, err
 	}
 	// The majority can be lost while the store answers slowly.
-	if err := a.checkMajority(next); err != nil {
+	if err := a.checkMajority(base.document, next); err != nil {
 		return nil, err
 	}
 	return a.commit(ctx, base, next)
 }
 
-func (a *Author) checkMajority(next *structs.Configuration) error {
-	if pools := a.options.Majority(next); len(pools) > 0 {
-		return &MajorityError{Pools: pools}
+// checkMajority asks for the pools of both documents: the owner of a removed service's pool has to learn of it too.
+func (a *Author) checkMajority(base, next *structs.Configuration) error {
+	lacking := a.options.Majority(base)
+	for _, pool := range a.options.Majority(next) {
+		if !slices.Contains(lacking, pool) {
+			lacking = append(lacking, pool)
+		}
+	}
+	if len(lacking) > 0 {
+		return &MajorityError{Pools: lacking}
 	}
 	return nil
 }
--- a/internal/query/change.go
+++ b/internal/query/change.go
@@ -114,7 +114,8 @@
 	status := x.system.InForce(ctx, document.Revision)
 	text := append([]string{planned.done}, planned.effects...)
 	text = append(text, fmt.Sprintf("Accepted as revision %d at %s.", document.Revision, timeText(document.Change.Time)))
-	return &admin.Result{Text: text, Revision: document.Revision, AcceptedAt: document.Change.Time, InForce: &status}, nil
+	return &admin.Result{Text: text, Changed: true, Revision: document.Revision, AcceptedAt: document.Change.Time,
+		InForce: &status}, nil
 }
 
 // commandText is the command as the audit entry keeps it; the text of an import is in the entry's diff.
@@ -374,16 +375,17 @@
 		return nil, configuration.Problem(err)
 	}
 	text := []string{fmt.Sprintf("Job %s is cancelled: waiting tasks are dropped, running ones are aborted.", id)}
-	return &admin.Result{Data: status, Text: append(text, jobText(status)...)}, nil
+	return &admin.Result{Changed: true, Data: status, Text: append(text, jobText(status)...)}, nil
 }
 
 func (x execution) gatewayGone(ctx context.Context) (*admin.Result, *structs.Problem) {
 	name := x.command.Gateway.Name
-	if known := x.gatewayNames(ctx); !slices.Contains(known, name) {
-		return nil, unknownName("gateway", name, known)
+	if !structs.ValidName(name) {
+		return nil, badRequest("%q is no gateway name", name)
 	}
+	notes := x.unlistedNotes(ctx, name)
 	if x.request.DryRun {
-		return &admin.Result{DryRun: true, Text: []string{
+		return &admin.Result{DryRun: true, Notes: notes, Text: []string{
 			"Nothing is changed yet. Other gateways would take over the pools of gateway " + name +
 				" without hearing a majority of their backend servers.",
 			"State this only if its VM is off for good: if the gateway still runs, tasks can start twice.",
@@ -393,7 +395,17 @@
 	if err := x.system.GatewayGone(ctx, structs.GatewayID(name)); err != nil {
 		return nil, configuration.Problem(err)
 	}
-	return &admin.Result{Text: []string{
+	return &admin.Result{Changed: true, Notes: notes, Text: []string{
 		"Gateway " + name + " counts as gone from now on; its pools are taken over without waiting for a majority.",
 	}}, nil
 }
+
+// unlistedNotes points at a possible typing error. A lost gateway leaves the list with its lease, so a name that is
+// not listed is no reason to refuse.
+func (x execution) unlistedNotes(ctx context.Context, name string) []string {
+	known := x.gatewayNames(ctx)
+	if slices.Contains(known, name) {
+		return nil
+	}
+	return []string{fmt.Sprintf("Gateway %s is not among the known gateways (%s): check the name.", name, strings.Join(known, ", "))}
+}
