Answer problems without an HTTP status in the admin interface

After: such problems get the status of their code; a test covers it. Texts of history and why are shorter.

--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -228,14 +228,38 @@
 	Outcome string       `json:"outcome"`
 }
 
+// statusOf gives the HTTP status of problems that name none, as those that come from another gateway. Other codes
+// are CodeUnavailable's.
+var statusOf = map[structs.Code]int{
+	structs.CodeBadRequest:     http.StatusBadRequest,
+	structs.CodeUnauthorized:   http.StatusUnauthorized,
+	structs.CodeForbidden:      http.StatusForbidden,
+	structs.CodeNotFound:       http.StatusNotFound,
+	structs.CodeUnknownService: http.StatusNotFound,
+	structs.CodeConflict:       http.StatusConflict,
+	structs.CodeInvalidConfig:  http.StatusUnprocessableEntity,
+	structs.CodeInternal:       http.StatusInternalServerError,
+}
+
+func httpStatus(problem *structs.Problem) int {
+	if problem.Status >= http.StatusBadRequest {
+		return problem.Status
+	}
+	if status, ok := statusOf[problem.Code]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
 func writeProblem(w http.ResponseWriter, problem *structs.Problem) {
+	status := httpStatus(problem)
 	if problem.Code == structs.CodeUnauthorized {
 		// The header lets a browser ask for the key of the status page, as a password.
 		w.Header().Set("WWW-Authenticate", `Basic realm="rosedrift: the key is the password"`)
 	}
 	w.Header().Set("Content-Type", "application/problem+json")
-	w.WriteHeader(problem.Status)
-	_ = json.NewEncoder(w).Encode(ProblemBody{Title: http.StatusText(problem.Status), Status: problem.Status,
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(ProblemBody{Title: http.StatusText(status), Status: status,
 		Detail: problem.Detail, Code: problem.Code, Outcome: problem.Outcome.String()})
 }
 
--- a/internal/admin/handler_test.go
+++ b/internal/admin/handler_test.go
@@ -52,6 +52,9 @@
 	if request.Command == "history" {
 		return nil, &structs.Problem{Code: structs.CodeStoreDown, Status: 503, Outcome: structs.OutcomeNotRun, Detail: "store down"}
 	}
+	if request.Command == "gateway g2 gone" {
+		return nil, &structs.Problem{Code: structs.CodeConflict, Outcome: structs.OutcomeNotRun}
+	}
 	return &Result{Columns: []string{"zone"}, Rows: [][]string{{"<b>"}}}, nil
 }
 
@@ -83,7 +86,8 @@
 	}
 }
 
-// TestCommands guards against commands of a foreign web page, oversized bodies, and problems without code or outcome.
+// TestCommands guards against commands of a foreign web page, oversized bodies, problems without code or outcome, and
+// a panic on a problem without an HTTP status.
 func TestCommands(t *testing.T) {
 	f := &fakeGateway{caller: Caller{Name: "anna", Role: RoleView}}
 	post := func(contentType, body string) *httptest.ResponseRecorder {
@@ -95,6 +99,7 @@
 	require.Empty(t, f.executed)
 	require.Equal(t, http.StatusOK, post(jsonType+"; charset=utf-8", `{"command":"zones","dry_run":true}`).Code)
 	require.Equal(t, []Request{{Command: "zones", DryRun: true}}, f.executed)
+	require.Equal(t, http.StatusConflict, post(jsonType, `{"command":"gateway g2 gone"}`).Code)
 	refused := post(jsonType, `{"command":"history"}`)
 	require.Equal(t, "application/problem+json", refused.Header().Get("Content-Type"))
 	body := ProblemBody{}
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"rosedrift.example/rosedrift/internal/structs"
@@ -177,8 +176,3 @@
 	}
 	return c.err()
 }
-
-// Summary returns the faults one per line.
-func (e *ValidationError) Summary() string {
-	return strings.ReplaceAll(e.Error(), "; ", "\n")
-}
--- a/internal/query/list.go
+++ b/internal/query/list.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"rosedrift.example/rosedrift/internal/admin"
@@ -259,11 +260,17 @@
 
 func timeText(t time.Time) string { return t.UTC().Format(timeLayout) }
 
-// changesText keeps a row of the history on one line.
+// maxChangesText keeps a row of the history on one line of a terminal. JSON output has the whole entry.
+const maxChangesText = 60
+
 func changesText(entry configuration.HistoryEntry) string {
 	lines := len(entry.Diff) + entry.Cut
-	if lines == 1 && len(entry.Diff) == 1 {
-		return entry.Diff[0]
+	if lines != 1 || len(entry.Diff) != 1 {
+		return count(lines, "change")
+	}
+	title, _, cut := strings.Cut(entry.Diff[0], ", ")
+	if cut && len(entry.Diff[0]) > maxChangesText {
+		return title
 	}
-	return count(lines, "setting")
+	return entry.Diff[0]
 }
--- a/internal/query/why.go
+++ b/internal/query/why.go
@@ -59,8 +59,8 @@
 		return []string{fmt.Sprintf("Pool %s has no owner: its work waits until a gateway takes it over.", pool.Pool)}
 	}
 	stats := pool.Stats
-	text := []string{fmt.Sprintf("Pool %s at gateway %s: %s urgent and %d routine wait, %d run on %s.", pool.Pool,
-		pool.Owner.ID, count(stats.QueuedUrgent, "task"), stats.QueuedRoutine, stats.Running, count(stats.Slots, "slot"))}
+	text := []string{fmt.Sprintf("Pool %s at gateway %s: %d urgent and %s wait, %d run on %s.", pool.Pool,
+		pool.Owner.ID, stats.QueuedUrgent, count(stats.QueuedRoutine, "routine task"), stats.Running, count(stats.Slots, "slot"))}
 	switch {
 	case stats.Slots == 0:
 		text = append(text, "No backend server takes its work.")
