--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -144,8 +144,12 @@
 	Document string `json:"document,omitempty"`
 	// Revision is the revision that the command created, 0 if it changed nothing.
 	Revision structs.Revision `json:"revision,omitempty"`
+	// AcceptedAt is the accepting gateway's time, set with Revision.
+	AcceptedAt time.Time `json:"accepted_at,omitzero"`
 	// InForce is set if the command created a revision.
 	InForce *configuration.ForceStatus `json:"in_force,omitempty"`
+	// Changed is true if the command changed something, also if that is no revision.
+	Changed bool `json:"changed,omitempty"`
 	// DryRun is true if the command would have changed something and was not executed.
 	DryRun bool `json:"dry_run,omitempty"`
 }
