Leave fast servers to urgent work and estimate waits per team

Changes: routine tasks use servers that urgent work does not need, then the slowest; urgent tasks wait for a faster server if they end earlier by that, for a bounded time; held-back slots count against long routine tasks and apply only while there is urgent work; admission uses the team's fair share and work normalized by server speed; a job that cannot end before its deadline is not started.

--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -264,5 +264,9 @@
 	if capacity == 0 {
 		return 0
 	}
-	return time.Duration(float64(p.expectedWork(class)) / capacity)
+	work := p.queue.Work(structs.Urgent)
+	if class == structs.Routine {
+		work += p.queue.Work(structs.Routine)
+	}
+	return time.Duration(float64(work) / capacity)
 }
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -130,7 +130,7 @@
 	j.returned = append(j.returned, index)
 	slices.Sort(j.returned)
 	p.countWaiting(j, 1)
-	p.queue.Return(j.entry, j.kind.Mean())
+	p.queue.Return(j.entry, j.kind.Work())
 	if event.Kind == structs.TaskRefused {
 		p.stats.Refused++
 		p.index.Refused(a.server)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -39,6 +39,8 @@
 	state    taskState
 	// resent is set once the task has been returned by an agent.
 	resent bool
+	// bulk is set while the task is sent and counts against the slots that are not held back.
+	bulk bool
 }
 
 // job is one submission.
@@ -81,6 +83,8 @@
 	// due is the deadline of a live job and the end of retention of a bodiless one.
 	due   time.Duration
 	timer int
+	// deferredUntil bounds the wait for a faster server, 0 if the job does not wait for one.
+	deferredUntil time.Duration
 
 	endedAt     time.Duration
 	answer      *structs.Answer
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -64,6 +64,7 @@
 	tickets       uint64
 	waiting       [structs.Priorities]int
 	running       int
+	runningUrgent int
 	urgentShare   loadMeter
 	noServerSince time.Duration
 	adoptedAt     time.Duration
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -17,6 +17,7 @@
 	if !p.mayStart() {
 		return
 	}
+	p.index.NoteUrgent(p.runningUrgent + p.waiting[structs.Urgent])
 	p.index.Settle()
 	for p.startNext() {
 	}
@@ -36,6 +37,10 @@
 		return false
 	}
 	j := entry.Value
+	if j.started() == 0 && p.isHopeless(j) {
+		p.endJob(j, structs.CodeDeadline, p.outcomeNow(j), "the job cannot end before its deadline")
+		return true
+	}
 	if len(j.returned) > 0 && p.startReturned(j) {
 		return true
 	}
@@ -50,6 +55,17 @@
 	return true
 }
 
+// isHopeless reports whether a job's tasks would not end before its deadline even on all slots of its class. Such a
+// job is not started, since its work would be wasted.
+func (p *Pool) isHopeless(j *job) bool {
+	capacity := p.capacity(j.sub.Priority)
+	if p.options.Policy != PolicyDefault || capacity == 0 || !j.kind.Known() {
+		return false
+	}
+	own := float64(j.waiting) * float64(j.kind.Work()) / capacity
+	return p.now+time.Duration(own) > j.due
+}
+
 // startReturned starts a task that a server has returned, at another one.
 func (p *Pool) startReturned(j *job) bool {
 	index := j.returned[0]
@@ -121,19 +137,21 @@
 	return s.Value.(*agent)
 }
 
+// chooseFastest applies the default policy. Routine tasks leave the fast servers to urgent work as long as others are
+// free.
 func (p *Pool) chooseFastest(j *job, excluded []*placement.Server) *placement.Server {
 	if j.sub.Priority == structs.Urgent {
-		if s := p.index.Fastest(j.kind, placement.AnySlot, excluded); s != nil {
-			return s
-		}
-		return p.index.Fastest(j.kind, placement.OvertakePlace, excluded)
+		return p.chooseUrgent(j, excluded)
+	}
+	if s := p.index.Fastest(j.kind, placement.RestSlot, excluded); s != nil {
+		return s
 	}
 	mean := j.kind.Mean()
 	need := placement.BulkSlot
 	if mean <= placement.ShortRoutine || p.queue.RoutineDue() {
 		need = placement.AnySlot
 	}
-	if s := p.index.Fastest(j.kind, need, excluded); s != nil {
+	if s := p.index.Slowest(j.kind, need, excluded); s != nil {
 		return s
 	}
 	if mean > prefetchMean || p.queue.Peek(structs.Urgent) != nil {
@@ -142,20 +160,42 @@
 	return p.index.Fastest(j.kind, placement.QueuePlace, excluded)
 }
 
+// chooseUrgent returns the fastest free server, or nil if the job's last waiting task is expected to end earlier by
+// waiting for a faster one. A job waits at most for the time that the slower server would take.
+func (p *Pool) chooseUrgent(j *job, excluded []*placement.Server) *placement.Server {
+	s := p.index.Fastest(j.kind, placement.AnySlot, excluded)
+	if s == nil {
+		return p.index.Fastest(j.kind, placement.OvertakePlace, excluded)
+	}
+	wait, expected := p.index.BetterWait(j.kind, s, p.waiting[structs.Urgent])
+	if !wait {
+		j.deferredUntil = 0
+		return s
+	}
+	if j.deferredUntil == 0 {
+		j.deferredUntil = p.now + expected
+	}
+	if p.now >= j.deferredUntil {
+		return s
+	}
+	return nil
+}
+
 // start sends a task to an agent.
 func (p *Pool) start(j *job, index uint32, a *agent) {
 	t := &j.tasks[index]
 	if t.state != taskWaiting || j.state != jobLive {
 		panic("dispatch: second start of a task of job " + j.id.String())
 	}
-	cost := j.kind.Mean()
+	cost := j.kind.Work()
 	p.queue.Take(j.entry, cost)
 	p.countWaiting(j, -1)
 	if j.sub.Priority == structs.Urgent {
 		p.urgentShare.add(cost)
 	}
 	p.attach(j, index, a, taskSent)
-	p.index.Reserve(a.server)
+	t.bulk = j.sub.Priority == structs.Routine && j.kind.Mean() > placement.ShortRoutine
+	p.index.Reserve(a.server, t.bulk)
 	p.stats.Started++
 	if len(a.pending) == 0 {
 		p.touched = append(p.touched, a)
@@ -177,7 +217,7 @@
 	a.tasks = append(a.tasks, agentTask{job: j, index: index})
 	if state == taskSent {
 		j.sent++
-		p.running++
+		p.countRunning(j, 1)
 	} else {
 		j.recorded++
 	}
@@ -201,46 +241,45 @@
 		return
 	}
 	j.sent--
-	p.running--
-	p.index.Release(a.server)
+	p.countRunning(j, -1)
+	p.index.Release(a.server, t.bulk)
+	t.bulk = false
 	if j.sent < 0 || p.running < 0 {
 		panic("dispatch: fewer than 0 tasks of job " + j.id.String() + " at agents")
 	}
 }
 
-// expectedWork returns the run time of the waiting work that is served before new work of the class.
-func (p *Pool) expectedWork(class structs.Priority) time.Duration {
-	var work time.Duration
-	for _, k := range p.index.Kinds() {
-		waiting := k.Waiting[structs.Urgent]
-		if class == structs.Routine {
-			waiting += k.Waiting[structs.Routine]
-		}
-		work += time.Duration(waiting) * k.Mean()
+// countRunning changes the number of tasks at agents.
+func (p *Pool) countRunning(j *job, change int) {
+	p.running += change
+	if j.sub != nil && j.sub.Priority == structs.Urgent {
+		p.runningUrgent += change
 	}
-	return work
 }
 
-// capacity returns the number of slots that serve a class.
+// capacity returns the work per second that serves a class, in the unit of Kind.Work.
 func (p *Pool) capacity(class structs.Priority) float64 {
-	slots := float64(p.index.Slots())
+	capacity := p.index.Capacity()
 	if class == structs.Urgent {
-		return slots
+		return capacity
 	}
-	return slots * max(1-p.urgentShare.share(slots), fairqueue.RoutineShare)
+	return capacity * max(1-p.urgentShare.share(capacity), fairqueue.RoutineShare)
 }
 
 // expectedEnd returns the expected time until a new submission has ended. It is 0 if there is no work ahead, so that
 // a wrong estimate cannot keep a kind from being tried, and without servers, which has a limit of its own.
 func (p *Pool) expectedEnd(sub *structs.Submission) time.Duration {
-	ahead := p.expectedWork(sub.Priority)
 	capacity := p.capacity(sub.Priority)
+	kind := p.index.Kind(sub.Kind, sub.DeclaredTime)
+	own := time.Duration(len(sub.Payloads)) * kind.Work()
+	ahead := p.queue.Ahead(sub.Priority, sub.Team, own)
+	if sub.Priority == structs.Routine {
+		ahead += p.queue.Work(structs.Urgent)
+	}
 	if ahead == 0 || capacity == 0 {
 		return 0
 	}
-	mean := p.index.Kind(sub.Kind, sub.DeclaredTime).Mean()
-	own := time.Duration(len(sub.Payloads)) * mean
-	return time.Duration(float64(ahead+own)/capacity) + mean
+	return time.Duration(float64(ahead+own)/capacity) + kind.Mean()
 }
 
 // loadMeter measures the work started per second in windows of meterWindow.
@@ -269,10 +308,10 @@
 	m.from, m.work = now, 0
 }
 
-// share returns the part of the slots that the metered work takes.
-func (m *loadMeter) share(slots float64) float64 {
-	if slots == 0 {
+// share returns the part of a capacity that the metered work takes.
+func (m *loadMeter) share(capacity float64) float64 {
+	if capacity == 0 {
 		return 0
 	}
-	return min(m.average/slots, 1)
+	return min(m.average/capacity, 1)
 }
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -14,7 +14,7 @@
 const (
 	// admissionMargin is the share of the deadline that the expected time to the answer may take. The rest covers
 	// the error of the estimate, since work that ends after its deadline is wasted.
-	admissionMargin = 0.8
+	admissionMargin = 0.7
 	// maxRetryAfter bounds the advice to a refused caller.
 	maxRetryAfter = time.Minute
 )
@@ -200,12 +200,14 @@
 
 // giveBody attaches the submission to a job and queues the tasks that have not started.
 func (p *Pool) giveBody(j *job, sub *structs.Submission) {
+	p.countRunning(j, -j.sent)
 	j.sub, j.state = sub, jobLive
+	p.countRunning(j, j.sent)
 	j.digest, j.hasDigest = sub.Digest, true
 	j.repeatable = sub.Repeatable
 	j.count = len(sub.Payloads)
 	j.kind = p.index.Kind(sub.Kind, sub.DeclaredTime)
-	j.entry = p.queue.NewEntry(sub.Priority, sub.Team, j.sequence, j)
+	j.entry = p.queue.NewEntry(sub.Priority, sub.Team, j.sequence, j.kind.Work(), j)
 	for len(j.tasks) < j.count {
 		j.tasks = append(j.tasks, task{})
 	}
@@ -255,7 +257,6 @@
 func (p *Pool) countWaiting(j *job, change int) {
 	j.waiting += change
 	p.waiting[j.priority()] += change
-	j.kind.Waiting[j.priority()] += change
 	if j.waiting < 0 {
 		panic("dispatch: job " + j.id.String() + " has fewer than 0 waiting tasks")
 	}
--- a/internal/fairqueue/queue.go
+++ b/internal/fairqueue/queue.go
@@ -32,6 +32,7 @@
 
 	seq   uint64
 	count int
+	cost  time.Duration
 	held  bool
 	class structs.Priority
 	team  *team[J]
@@ -75,6 +76,8 @@
 type lane[J any] struct {
 	team    *team[J]
 	virtual float64
+	// work is the expected run time of the waiting tasks.
+	work    time.Duration
 	entries entryHeap[J]
 	index   int
 }
@@ -91,12 +94,15 @@
 	q.refresh(t)
 }
 
-// NewEntry returns an entry without tasks. seq orders the entries of a team and must be unique.
-func (q *Queue[J]) NewEntry(priority structs.Priority, teamName string, seq uint64, value J) *Entry[J] {
+// NewEntry returns an entry without tasks. seq orders the entries of a team and must be unique. cost is the expected
+// run time of one task, for Ahead.
+func (q *Queue[J]) NewEntry(
+	priority structs.Priority, teamName string, seq uint64, cost time.Duration, value J,
+) *Entry[J] {
 	if q.fifo {
 		priority, teamName = structs.Urgent, ""
 	}
-	return &Entry[J]{Value: value, seq: seq, class: priority, team: q.team(teamName), index: -1}
+	return &Entry[J]{Value: value, seq: seq, cost: cost, class: priority, team: q.team(teamName), index: -1}
 }
 
 // Fits reports whether a team may have count more waiting tasks.
@@ -110,9 +116,7 @@
 
 // Add makes count more tasks of the entry wait.
 func (q *Queue[J]) Add(e *Entry[J], count int) {
-	e.count += count
-	e.team.queued += count
-	q.classes[e.class].queued += count
+	q.count(e, count)
 	q.enter(e)
 }
 
@@ -149,10 +153,8 @@
 	lane := &e.team.lanes[e.class]
 	q.classes[e.class].virtual = max(q.classes[e.class].virtual, lane.virtual)
 	lane.virtual += e.team.charge(cost)
-	e.count--
-	e.team.queued--
+	q.count(e, -1)
 	e.team.running++
-	q.classes[e.class].queued--
 	if e.count == 0 {
 		q.leave(e)
 	}
@@ -197,9 +199,42 @@
 // Drop removes all waiting tasks of the entry.
 func (q *Queue[J]) Drop(e *Entry[J]) {
 	q.leave(e)
-	e.team.queued -= e.count
-	q.classes[e.class].queued -= e.count
-	e.count = 0
+	q.count(e, -e.count)
+}
+
+// count changes the number of waiting tasks of an entry in all sums.
+func (q *Queue[J]) count(e *Entry[J], change int) {
+	e.count += change
+	e.team.queued += change
+	e.team.lanes[e.class].work += time.Duration(change) * e.cost
+	q.classes[e.class].queued += change
+}
+
+// Ahead returns the waiting work of a class that is served before the last task of new work of a team: all of the
+// team's own, and of each other team at most as much as its weight gives it meanwhile.
+func (q *Queue[J]) Ahead(priority structs.Priority, teamName string, work time.Duration) time.Duration {
+	if q.fifo {
+		priority, teamName = structs.Urgent, ""
+	}
+	own := q.team(teamName)
+	total := own.lanes[priority].work
+	perWeight := float64(total+work) / own.weight()
+	for _, other := range q.teams {
+		if other != own {
+			share := time.Duration(perWeight * other.weight())
+			total += min(other.lanes[priority].work, share)
+		}
+	}
+	return total
+}
+
+// Work returns the expected run time of all waiting tasks of a class.
+func (q *Queue[J]) Work(priority structs.Priority) time.Duration {
+	var total time.Duration
+	for _, t := range q.teams {
+		total += t.lanes[priority].work
+	}
+	return total
 }
 
 // Queued returns the number of waiting tasks of a class, held ones included.
@@ -282,12 +317,15 @@
 
 func (t *team[J]) full() bool { return t.quota.MaxRunning > 0 && t.running >= t.quota.MaxRunning }
 
-func (t *team[J]) charge(cost time.Duration) float64 {
-	weight := t.quota.Weight
-	if weight <= 0 {
-		weight = structs.DefaultTeamWeight
+func (t *team[J]) weight() float64 {
+	if t.quota.Weight > 0 {
+		return t.quota.Weight
 	}
-	return max(cost, minCost).Seconds() / weight
+	return structs.DefaultTeamWeight
+}
+
+func (t *team[J]) charge(cost time.Duration) float64 {
+	return max(cost, minCost).Seconds() / t.weight()
 }
 
 // entryHeap orders the entries of a lane by their sequence number.
--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -29,6 +29,10 @@
 	rampStart = 0.5
 	// RampTime is the time from a server's return to the use of all slots.
 	RampTime = time.Second
+	// demandDecay is the part of the remembered peak of urgent tasks that is left after each heldInterval.
+	demandDecay = 0.9
+	// meanWeight is the weight of the newest task in the average run time of all tasks.
+	meanWeight = 0.01
 	// heldInterval is the time between assignments of the held-back slots to servers.
 	heldInterval = time.Second
 )
@@ -52,8 +56,14 @@
 	number   int
 	slots    int
 	inflight int
-	held     int
-	serving  bool
+	// bulk is the number of reserved places that may not be held-back ones, held the number of held-back slots.
+	bulk    int
+	held    int
+	serving bool
+	// weight is slots while serving, else 0.
+	weight int
+	// fast is set for the servers that urgent work needs at present.
+	fast bool
 	// speed is the base 2 logarithm of the run time relative to the kind's.
 	speed    float64
 	samples  float64
@@ -94,15 +104,21 @@
 	servers []*Server
 	kinds   map[string]*Kind
 	order   []*Kind
-	// free holds servers with a free slot, bulk those with a free slot beyond the held-back ones, queue those with
-	// all slots busy and room for a prefetched task, overtake those with room for an urgent task ahead of a
-	// prefetched one, and room all with less than slots and QueueBound reserved.
-	free, bulk, queue, overtake, room bitset
-	attention                         []*Server
-	heldShare                         float64
-	heldAt                            time.Duration
-	slots, serving                    int
-	heldStale                         bool
+	// free holds servers with a free slot, bulk those with a free slot beyond the held-back ones, rest those of bulk
+	// that urgent work does not need, queue those with all slots busy and room for a prefetched task, overtake those
+	// with room for an urgent task ahead of a prefetched one, and room all with less than slots and QueueBound
+	// reserved.
+	free, bulk, rest, queue, overtake, room bitset
+	// demand is the recent peak of urgent tasks that run or wait.
+	demand   float64
+	capacity float64
+	// mean is the average run time in milliseconds of all tasks on a server of speed 1.
+	mean           float64
+	attention      []*Server
+	heldShare      float64
+	heldAt         time.Duration
+	slots, serving int
+	heldStale      bool
 	// turn spreads choices within a bucket, cursor is the position of Next.
 	turn, cursor int
 	random       *rand.Rand
@@ -110,12 +126,15 @@
 
 // NewIndex returns an empty index. seed decides the choices of Random.
 func NewIndex(seed uint64) *Index {
-	return &Index{kinds: make(map[string]*Kind), random: rand.New(rand.NewPCG(seed, seed))}
+	return &Index{kinds: make(map[string]*Kind), mean: float64(defaultRunTime / time.Millisecond), random: rand.New(rand.NewPCG(seed, seed))}
 }
 
 // Slots returns the sum of the slots of all serving servers.
 func (x *Index) Slots() int { return x.slots }
 
+// Capacity returns the work per second that the serving servers can do, in seconds of run time at speed 1.
+func (x *Index) Capacity() float64 { return x.capacity }
+
 // Serving returns the number of servers that may get work.
 func (x *Index) Serving() int { return x.serving }
 
@@ -144,9 +163,6 @@
 	return k
 }
 
-// Kinds returns all kinds with estimates of their own.
-func (x *Index) Kinds() []*Kind { return x.order }
-
 // Join adds a server that gets no work until SetServing.
 func (x *Index) Join(value any) *Server {
 	s := &Server{Value: value, number: slices.Index(x.servers, nil)}
@@ -167,7 +183,7 @@
 	s.gone = true
 	x.servers[s.number] = nil
 	for _, k := range x.order {
-		k.remove(s.number)
+		k.remove(s)
 		k.pairs[s.number] = pair{}
 	}
 }
@@ -176,7 +192,6 @@
 // all of them after RampTime.
 func (x *Index) Update(s *Server, slots int, serving, ramp bool) {
 	if s.serving {
-		x.slots -= s.slots
 		x.serving--
 	}
 	if ramp && serving && !s.serving {
@@ -184,10 +199,16 @@
 		x.watch(s)
 	}
 	s.slots, s.serving = slots, serving
+	weight := 0
 	if serving {
-		x.slots += slots
+		weight = slots
 		x.serving++
 	}
+	x.slots += weight - s.weight
+	for _, k := range x.order {
+		k.reweigh(s, weight)
+	}
+	s.weight = weight
 	x.heldStale = true
 	x.refresh(s)
 }
@@ -232,22 +253,36 @@
 	}
 }
 
+// NoteUrgent tells how many urgent tasks run or wait. The index remembers the peak for some seconds.
+func (x *Index) NoteUrgent(tasks int) { x.demand = max(x.demand, float64(tasks)) }
+
 // assignHeld gives the held-back slots to the fastest servers, one each in turn, so that urgent tasks find a fast
-// server free.
+// server free, and marks the fast servers that urgent work needs. Without urgent work nothing is held back.
 func (x *Index) assignHeld() {
-	x.heldAt, x.heldStale = x.now, false
+	if x.now >= x.heldAt+heldInterval {
+		x.heldAt = x.now
+		x.demand *= demandDecay
+	}
+	x.heldStale = false
+	x.capacity = 0
 	serving := make([]*Server, 0, x.serving)
 	for _, s := range x.servers {
 		if s == nil {
 			continue
 		}
-		s.held = 0
+		s.held, s.fast = 0, false
 		if s.serving {
 			serving = append(serving, s)
+			x.capacity += float64(s.slots) / s.Speed()
 		}
 	}
 	slices.SortStableFunc(serving, func(a, b *Server) int { return cmp.Compare(a.speed, b.speed) })
-	for left := int(math.Ceil(x.heldShare * float64(x.slots))); left > 0; {
+	needed := x.demand
+	for _, s := range serving {
+		s.fast = needed > 0
+		needed -= float64(s.slots)
+	}
+	for left := int(math.Ceil(min(x.heldShare*float64(x.slots), x.demand))); left > 0; {
 		before := left
 		for _, s := range serving {
 			if left > 0 && s.held < s.slots {
@@ -284,9 +319,11 @@
 // refresh recomputes the server's place in the sets of the filter stage.
 func (x *Index) refresh(s *Server) {
 	free := s.limit(x.now) - s.inflight
+	bulk := free > 0 && s.bulk < s.slots-s.held
 	normal := s.serving && !s.Open() && !s.ramping && !s.Paused(x.now)
 	x.free.put(s.number, free > 0)
-	x.bulk.put(s.number, free > s.held)
+	x.bulk.put(s.number, bulk)
+	x.rest.put(s.number, bulk && !s.fast)
 	x.queue.put(s.number, normal && free <= 0 && s.inflight < s.slots+PrefetchBound)
 	x.overtake.put(s.number, normal && s.inflight > s.slots && s.inflight < s.slots+QueueBound)
 	x.room.put(s.number, normal && s.inflight < s.slots+QueueBound)
@@ -301,6 +338,8 @@
 	AnySlot Need = iota
 	// BulkSlot is a free slot that is not held back.
 	BulkSlot
+	// RestSlot is a free slot that is not held back at a server that urgent work does not need at present.
+	RestSlot
 	// QueuePlace is a place in the queue of a server whose slots are all busy.
 	QueuePlace
 	// OvertakePlace is a place in the queue of a server ahead of a prefetched task.
@@ -311,6 +350,8 @@
 	switch need {
 	case BulkSlot:
 		return &x.bulk
+	case RestSlot:
+		return &x.rest
 	case QueuePlace:
 		return &x.queue
 	case OvertakePlace:
@@ -333,6 +374,30 @@
 	return x.at(number)
 }
 
+// Slowest is like Fastest for the highest expected run time.
+func (x *Index) Slowest(k *Kind, need Need, excluded []*Server) *Server {
+	set := x.set(need)
+	x.exclude(set, excluded)
+	number := k.slowest(set, x.turn)
+	x.restore(excluded)
+	return x.at(number)
+}
+
+// BetterWait reports whether the last of waiting tasks of a kind is expected to end earlier if all of them wait for
+// servers faster than s, whose slots are busy, than by a start at s. It also returns the expected run time at s.
+func (x *Index) BetterWait(k *Kind, s *Server, waiting int) (wait bool, expected time.Duration) {
+	bucket := k.pairs[s.number].bucket
+	own := bucketTime(bucket)
+	expected = time.Duration(own * float64(time.Millisecond))
+	slots, rate := k.faster(bucket)
+	if slots == 0 || k.mean <= 0 {
+		return false, expected
+	}
+	// The busy slots run tasks of all kinds, so they get free at the rate of the average task.
+	release := rate * k.work / max(x.mean, 1)
+	return float64(waiting)/release+slots/rate < own, expected
+}
+
 // Random returns a random server with room, without regard to free slots.
 func (x *Index) Random(excluded []*Server) *Server {
 	x.exclude(&x.room, excluded)
@@ -372,8 +437,8 @@
 	return x.servers[number]
 }
 
-// Reserve counts a place for a task that is sent to the server.
-func (x *Index) Reserve(s *Server) {
+// Reserve counts a place for a task that is sent to the server. bulk says that the task may not use held-back slots.
+func (x *Index) Reserve(s *Server, bulk bool) {
 	if s.inflight >= s.slots+QueueBound {
 		panic("placement: reservation beyond slots and queue bound")
 	}
@@ -381,6 +446,9 @@
 		s.nextProbe = x.now + probeInterval
 	}
 	s.inflight++
+	if bulk {
+		s.bulk++
+	}
 	x.turn = (x.turn + 1) % wordBits
 	x.refresh(s)
 }
@@ -391,18 +459,22 @@
 	x.refresh(s)
 }
 
-// Release frees a place.
-func (x *Index) Release(s *Server) {
-	if s.inflight == 0 {
+// Release frees a place. bulk is the value given to Reserve.
+func (x *Index) Release(s *Server, bulk bool) {
+	s.inflight--
+	if bulk {
+		s.bulk--
+	}
+	if s.inflight < 0 || s.bulk < 0 {
 		panic("placement: release of a place that is not reserved")
 	}
-	s.inflight--
 	x.refresh(s)
 }
 
 // Finished learns the speed from a task that succeeded and closes the breaker.
 func (x *Index) Finished(s *Server, k *Kind, runTime time.Duration) {
 	k.observe(s, runTime)
+	x.mean += meanWeight * (runTime.Seconds()*1000/s.Speed() - x.mean)
 	s.failures, s.failedJob, s.refusals = 0, 0, 0
 	x.refresh(s)
 }
--- /dev/null
+++ b/internal/placement/index_test.go
@@ -0,0 +1,172 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "rosedrift.example/rosedrift/internal/testseed"
+)
+
+const slots = 8
+
+func newIndex(servers int) (*Index, []*Server) {
+	x := NewIndex(1)
+	list := make([]*Server, servers)
+	for i := range list {
+		list[i] = x.Join(i)
+		x.Update(list[i], slots, true, false)
+	}
+	x.Settle()
+	return x, list
+}
+
+// fill reserves places for long routine tasks until none is left and returns their number.
+func fill(x *Index, k *Kind, need Need) int {
+	for n := 0; ; n++ {
+		s := x.Fastest(k, need, nil)
+		if s == nil {
+			return n
+		}
+		x.Reserve(s, need == BulkSlot)
+	}
+}
+
+// TestLearnsSpeeds guards against placement that does not prefer the servers that prove faster.
+func TestLearnsSpeeds(t *testing.T) {
+	x, list := newIndex(100)
+	k := x.Kind("glaze", time.Hour)
+	for round := range 20 {
+		for i, s := range list {
+			x.Finished(s, k, time.Duration(100+10*((i*37+round*41)%100))*time.Millisecond*time.Duration(1+i%4))
+		}
+	}
+	for range 25 * slots {
+		s := x.Fastest(k, AnySlot, nil)
+		require.Zero(t, s.Value.(int)%4)
+		x.Reserve(s, false)
+	}
+	require.NotZero(t, x.Fastest(k, AnySlot, nil).Value.(int)%4)
+	require.Equal(t, 3, x.Slowest(k, AnySlot, nil).Value.(int)%4)
+}
+
+// TestHeldBackCapacity guards against long routine tasks on the slots that are kept for urgent work, and against
+// idle slots when there is no urgent work.
+func TestHeldBackCapacity(t *testing.T) {
+	x, _ := newIndex(10)
+	x.SetHeldShare(0.05)
+	x.NoteUrgent(50)
+	x.Settle()
+	k := x.Kind("glaze", 0)
+	require.Equal(t, 76, fill(x, k, BulkSlot))
+	require.Equal(t, 4, fill(x, k, AnySlot))
+
+	idle, _ := newIndex(10)
+	idle.SetHeldShare(0.05)
+	idle.Settle()
+	require.Equal(t, 80, fill(idle, idle.Kind("glaze", 0), BulkSlot))
+}
+
+// TestBreaker guards against work for a failing server beyond one probe per second, and against a breaker that opens
+// because of one bad job.
+func TestBreaker(t *testing.T) {
+	x, list := newIndex(1)
+	k := x.Kind("glaze", 0)
+	for range 20 {
+		x.Failed(list[0], 1)
+	}
+	require.False(t, list[0].Open())
+	for job := range uint64(4) {
+		x.Failed(list[0], job+2)
+	}
+	require.True(t, list[0].Open())
+	probes := 0
+	for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+		x.Advance(now)
+		if s := x.Fastest(k, AnySlot, nil); s != nil {
+			x.Reserve(s, false)
+			require.Nil(t, x.Fastest(k, AnySlot, nil), "second probe at a time")
+			x.Release(s, false)
+			x.Failed(s, uint64(now)+100)
+			probes++
+		}
+	}
+	require.Equal(t, 9, probes)
+	x.Advance(10 * time.Second)
+	x.Finished(list[0], k, time.Second)
+	require.Equal(t, slots, fill(x, k, AnySlot))
+}
+
+// TestRamp guards against a returning server that is overloaded at once or not used in full after RampTime.
+func TestRamp(t *testing.T) {
+	x, list := newIndex(1)
+	k := x.Kind("glaze", 0)
+	x.Update(list[0], slots, false, true)
+	require.Nil(t, x.Fastest(k, AnySlot, nil))
+	x.Update(list[0], slots, true, true)
+	require.Equal(t, slots/2, fill(x, k, AnySlot))
+	x.Advance(RampTime / 2)
+	require.Equal(t, slots/4, fill(x, k, AnySlot))
+	x.Advance(RampTime)
+	require.Equal(t, slots/4, fill(x, k, AnySlot))
+}
+
+// TestRefusalPause guards against a server that refuses all starts and gets the same tasks again without end.
+func TestRefusalPause(t *testing.T) {
+	x, list := newIndex(1)
+	k := x.Kind("glaze", 0)
+	refusals := 0
+	for now := time.Duration(0); now < 10*time.Second; now += time.Millisecond {
+		x.Advance(now)
+		if x.Fastest(k, AnySlot, nil) != nil {
+			x.Refused(list[0])
+			refusals++
+		}
+	}
+	require.LessOrEqual(t, refusals, 16)
+}
+
+// TestSetsMatchServers guards against choices of servers that do not pass the filter, over random sequences.
+func TestSetsMatchServers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x, list := newIndex(rapid.IntRange(1, 150).Draw(t, "servers"))
+		kinds := []*Kind{x.Kind("a", 0), x.Kind("b", time.Second)}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 100).Draw(t, "length") {
+			i := rapid.IntRange(0, len(list)-1).Draw(t, "server")
+			s, k := list[i], kinds[rapid.IntRange(0, 1).Draw(t, "kind")]
+			switch rapid.IntRange(0, 6).Draw(t, "op") {
+			case 0:
+				x.Update(s, rapid.IntRange(0, 9).Draw(t, "slots"), rapid.Bool().Draw(t, "serving"), rapid.Bool().Draw(t, "ramp"))
+			case 1:
+				x.Leave(s)
+				list[i] = x.Join(i)
+			case 2:
+				x.Finished(s, k, time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms"))*time.Millisecond)
+			case 3:
+				x.Failed(s, rapid.Uint64Range(1, 1000).Draw(t, "job"))
+			case 4:
+				now += time.Duration(rapid.IntRange(0, 2000).Draw(t, "pass")) * time.Millisecond
+				x.Advance(now)
+			default:
+				need := Need(rapid.IntRange(0, 4).Draw(t, "need"))
+				s := x.Fastest(k, need, []*Server{list[i]})
+				if s == nil {
+					continue
+				}
+				require.NotSame(t, list[i], s, "excluded server")
+				require.True(t, s.serving && !s.gone)
+				x.Reserve(s, need == BulkSlot || need == RestSlot)
+				require.LessOrEqual(t, s.inflight, max(s.slots+QueueBound, 1))
+			}
+			x.Settle()
+			total := 0
+			for _, s := range list {
+				total += s.weight
+			}
+			require.Equal(t, total, x.Slots())
+		}
+	})
+}
--- a/internal/placement/kind.go
+++ b/internal/placement/kind.go
@@ -4,8 +4,6 @@
 	"math"
 	"math/bits"
 	"time"
-
-	"rosedrift.example/rosedrift/internal/structs"
 )
 
 // Estimation of run times. All averages are taken over logarithms, since run times spread over two orders of
@@ -37,16 +35,17 @@
 // Kind holds the estimates of one kind of tasks and its servers in order of expected run time.
 type Kind struct {
 	// log is the base 2 logarithm of the run time in milliseconds on a server of speed 1.
-	log     float64
+	log float64
+	// mean is the average run time in milliseconds, work the same on a server of speed 1.
 	mean    float64
+	work    float64
 	samples float64
 	pairs   []pair
 	buckets [bucketCount]bitset
+	// slots is the number of serving slots per bucket.
+	slots [bucketCount]int
 	// used marks non-empty buckets.
 	used [bucketCount / wordBits]uint64
-
-	// Waiting counts the waiting tasks per priority; the caller keeps it to estimate the work ahead.
-	Waiting [structs.Priorities]int
 }
 
 // pair is the estimate of one server for one kind.
@@ -62,12 +61,20 @@
 	return time.Duration(k.mean * float64(time.Millisecond))
 }
 
+// Work returns the expected run time of a task on a server of speed 1. Index.Capacity counts in the same unit.
+func (k *Kind) Work() time.Duration {
+	return time.Duration(k.work * float64(time.Millisecond))
+}
+
+// Known reports whether the estimates rest on observations.
+func (k *Kind) Known() bool { return k.samples > 0 }
+
 func newKind(declared time.Duration) *Kind {
 	if declared <= 0 {
 		declared = defaultRunTime
 	}
 	ms := max(min(declared, maxDeclared).Seconds()*1000, 1)
-	return &Kind{log: math.Log2(ms), mean: ms}
+	return &Kind{log: math.Log2(ms), mean: ms, work: ms}
 }
 
 // observe learns from a finished task and moves the server to its bucket.
@@ -77,6 +84,7 @@
 	k.samples++
 	weight := max(1/k.samples, kindWeight)
 	k.mean += weight * (ms - k.mean)
+	k.work += weight * (ms/s.Speed() - k.work)
 	k.log += weight * (log - s.speed - k.log)
 	s.samples++
 	s.speed += max(1/(s.samples+priorSamples), pairWeight) * (log - k.log - s.speed)
@@ -104,25 +112,69 @@
 	if p.present && p.bucket == bucket {
 		return
 	}
-	k.remove(s.number)
+	k.remove(s)
 	p.present, p.bucket = true, bucket
+	k.slots[bucket] += s.weight
 	k.buckets[bucket].set(s.number)
 	k.used[bucket/wordBits] |= 1 << (bucket % wordBits)
 }
 
 // remove takes a server out of its bucket.
-func (k *Kind) remove(number int) {
-	p := &k.pairs[number]
+func (k *Kind) remove(s *Server) {
+	p := &k.pairs[s.number]
 	if !p.present {
 		return
 	}
 	p.present = false
-	k.buckets[p.bucket].clear(number)
+	k.slots[p.bucket] -= s.weight
+	k.buckets[p.bucket].clear(s.number)
 	if k.buckets[p.bucket].empty() {
 		k.used[p.bucket/wordBits] &^= 1 << (p.bucket % wordBits)
 	}
 }
 
+// reweigh changes the number of serving slots of a server.
+func (k *Kind) reweigh(s *Server, weight int) {
+	if p := &k.pairs[s.number]; p.present {
+		k.slots[p.bucket] += weight - s.weight
+	}
+}
+
+// bucketTime returns the run time in milliseconds that a bucket stands for.
+func bucketTime(bucket int) float64 {
+	return math.Exp2((float64(bucket) + 0.5) / bucketsPerOctave)
+}
+
+// faster returns the number of serving slots in the buckets before one and the tasks of the kind per millisecond that
+// they can run.
+func (k *Kind) faster(bucket int) (slots, rate float64) {
+	for i, used := range k.used {
+		for ; used != 0; used &= used - 1 {
+			b := i*wordBits + bits.TrailingZeros64(used)
+			if b >= bucket {
+				return slots, rate
+			}
+			slots += float64(k.slots[b])
+			rate += float64(k.slots[b]) / bucketTime(b)
+		}
+	}
+	return slots, rate
+}
+
+// slowest returns the member of set with the highest expected run time, or -1.
+func (k *Kind) slowest(set *bitset, turn int) int {
+	for i := len(k.used) - 1; i >= 0; i-- {
+		for used := k.used[i]; used != 0; {
+			top := wordBits - 1 - bits.LeadingZeros64(used)
+			if number := common(&k.buckets[i*wordBits+top], set, turn); number >= 0 {
+				return number
+			}
+			used &^= 1 << top
+		}
+	}
+	return -1
+}
+
 // fastest returns the member of set with the lowest expected run time, or -1.
 func (k *Kind) fastest(set *bitset, turn int) int {
 	for i, used := range k.used {
