--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -39,8 +39,6 @@
 	state    taskState
 	// resent is set once the task has been returned by an agent.
 	resent bool
-	// bulk is set while the task is sent and counts against the slots that are not held back.
-	bulk bool
 }
 
 // job is one submission.
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -194,8 +194,7 @@
 		p.urgentShare.add(cost)
 	}
 	p.attach(j, index, a, taskSent)
-	t.bulk = j.sub.Priority == structs.Routine && j.kind.Mean() > placement.ShortRoutine
-	p.index.Reserve(a.server, t.bulk)
+	p.index.Reserve(a.server)
 	p.stats.Started++
 	if len(a.pending) == 0 {
 		p.touched = append(p.touched, a)
@@ -242,8 +241,7 @@
 	}
 	j.sent--
 	p.countRunning(j, -1)
-	p.index.Release(a.server, t.bulk)
-	t.bulk = false
+	p.index.Release(a.server)
 	if j.sent < 0 || p.running < 0 {
 		panic("dispatch: fewer than 0 tasks of job " + j.id.String() + " at agents")
 	}
--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -56,8 +56,7 @@
 	number   int
 	slots    int
 	inflight int
-	// bulk is the number of reserved places that may not be held-back ones, held the number of held-back slots.
-	bulk    int
+	// held is the number of free slots that long routine tasks leave.
 	held    int
 	serving bool
 	// weight is slots while serving, else 0.
@@ -319,7 +318,7 @@
 // refresh recomputes the server's place in the sets of the filter stage.
 func (x *Index) refresh(s *Server) {
 	free := s.limit(x.now) - s.inflight
-	bulk := free > 0 && s.bulk < s.slots-s.held
+	bulk := free > s.held
 	normal := s.serving && !s.Open() && !s.ramping && !s.Paused(x.now)
 	x.free.put(s.number, free > 0)
 	x.bulk.put(s.number, bulk)
@@ -437,8 +436,8 @@
 	return x.servers[number]
 }
 
-// Reserve counts a place for a task that is sent to the server. bulk says that the task may not use held-back slots.
-func (x *Index) Reserve(s *Server, bulk bool) {
+// Reserve counts a place for a task that is sent to the server.
+func (x *Index) Reserve(s *Server) {
 	if s.inflight >= s.slots+QueueBound {
 		panic("placement: reservation beyond slots and queue bound")
 	}
@@ -446,9 +445,6 @@
 		s.nextProbe = x.now + probeInterval
 	}
 	s.inflight++
-	if bulk {
-		s.bulk++
-	}
 	x.turn = (x.turn + 1) % wordBits
 	x.refresh(s)
 }
@@ -459,13 +455,10 @@
 	x.refresh(s)
 }
 
-// Release frees a place. bulk is the value given to Reserve.
-func (x *Index) Release(s *Server, bulk bool) {
+// Release frees a place.
+func (x *Index) Release(s *Server) {
 	s.inflight--
-	if bulk {
-		s.bulk--
-	}
-	if s.inflight < 0 || s.bulk < 0 {
+	if s.inflight < 0 {
 		panic("placement: release of a place that is not reserved")
 	}
 	x.refresh(s)
--- a/internal/placement/index_test.go
+++ b/internal/placement/index_test.go
@@ -30,7 +30,7 @@
 		if s == nil {
 			return n
 		}
-		x.Reserve(s, need == BulkSlot)
+		x.Reserve(s)
 	}
 }
 
@@ -46,7 +46,7 @@
 	for range 25 * slots {
 		s := x.Fastest(k, AnySlot, nil)
 		require.Zero(t, s.Value.(int)%4)
-		x.Reserve(s, false)
+		x.Reserve(s)
 	}
 	require.NotZero(t, x.Fastest(k, AnySlot, nil).Value.(int)%4)
 	require.Equal(t, 3, x.Slowest(k, AnySlot, nil).Value.(int)%4)
@@ -86,9 +86,9 @@
 	for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
 		x.Advance(now)
 		if s := x.Fastest(k, AnySlot, nil); s != nil {
-			x.Reserve(s, false)
+			x.Reserve(s)
 			require.Nil(t, x.Fastest(k, AnySlot, nil), "second probe at a time")
-			x.Release(s, false)
+			x.Release(s)
 			x.Failed(s, uint64(now)+100)
 			probes++
 		}
@@ -158,7 +158,7 @@
 				}
 				require.NotSame(t, list[i], s, "excluded server")
 				require.True(t, s.serving && !s.gone)
-				x.Reserve(s, need == BulkSlot || need == RestSlot)
+				x.Reserve(s)
 				require.LessOrEqual(t, s.inflight, max(s.slots+QueueBound, 1))
 			}
 			x.Settle()
