--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -40,6 +40,7 @@
 	now      time.Duration
 	pool     *Pool
 	epoch    structs.Epoch
+	policy   Policy
 	mode     Mode
 	config   *structs.Configuration
 	agents   []*fakeAgent
@@ -62,7 +63,8 @@
 		pending: map[WaiterID]structs.JobID{}, started: map[structs.TaskRef]int{}, notRun: map[structs.JobID]bool{},
 	}
 	m.config.Teams = map[string]structs.TeamConfig{"bakers": {MaxRunning: 9, MaxQueued: 60}}
-	m.pool = New(0, Options{Pool: testPool, Epoch: 1})
+	m.policy = rapid.SampledFrom([]Policy{PolicyDefault, PolicyDefault, PolicyFIFO, PolicyRandom}).Draw(t, "policy")
+	m.pool = New(0, Options{Pool: testPool, Epoch: 1, Policy: m.policy})
 	m.step(Configure{Config: m.config})
 	m.step(Adopt{Complete: true})
 	m.setMode(Attached)
@@ -229,8 +231,12 @@
 		}
 	case SendFetch:
 		for _, r := range a.records {
-			if r.task.Job == message.Fetch.Job && r.state == structs.RecordFinished {
+			switch {
+			case r.task.Job != message.Fetch.Job:
+			case r.state == structs.RecordFinished:
 				a.report(r.epoch, event(r.task, structs.TaskFinished, string(r.result)))
+			case r.state == structs.RecordEvicted:
+				a.report(r.epoch, event(r.task, structs.TaskFailed, ""))
 			}
 		}
 	}
@@ -284,6 +290,16 @@
 	}
 }
 
+// evict drops the oldest result.
+func (a *fakeAgent) evict() {
+	for _, r := range a.records {
+		if r.state == structs.RecordFinished {
+			r.state = structs.RecordEvicted
+			return
+		}
+	}
+}
+
 func (m *model) endAny(a *fakeAgent, kind structs.TaskEventKind) {
 	for _, r := range a.records {
 		if r.state == structs.RecordRunning {
@@ -407,7 +423,7 @@
 	jobs := m.pool.Snapshot(m.now)
 	clear(m.pending)
 	m.unsaved = nil
-	m.pool = New(m.now, Options{Pool: testPool, Epoch: m.epoch})
+	m.pool = New(m.now, Options{Pool: testPool, Epoch: m.epoch, Policy: m.policy})
 	m.mode = Recovering
 	m.step(Configure{Config: m.config})
 	if len(m.subs) > 0 {
@@ -509,8 +525,10 @@
 		m.link(a)
 	case op < 92:
 		m.join()
-	case op < 94:
+	case op < 93:
 		a.refusing = !a.refusing
+	case op < 94:
+		a.evict()
 	case op < 96:
 		m.toggleZone()
 	case op < 98:
