--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -14,13 +14,12 @@
 		return
 	}
 	for i := range in.Events {
-		own := in.Epoch == 0 || in.Epoch == p.options.Epoch
-		p.handleEvent(a, &in.Events[i], own)
+		p.handleEvent(a, &in.Events[i], in)
 	}
 }
 
-// handleEvent applies one event. own is false if the event answers a start of an earlier epoch.
-func (p *Pool) handleEvent(a *agent, event *structs.TaskEvent, own bool) {
+// handleEvent applies one event of a batch.
+func (p *Pool) handleEvent(a *agent, event *structs.TaskEvent, batch Events) {
 	j := p.jobs[event.Task.Job.Key]
 	index := event.Task.Index
 	if j == nil || j.id != event.Task.Job || j.state == jobEnded {
@@ -37,11 +36,11 @@
 	case structs.TaskFailed:
 		p.failed(j, a, event)
 	case structs.TaskRefused, structs.TaskWithdrawn:
-		if !own {
+		if batch.Epoch != 0 && batch.Epoch != p.options.Epoch {
 			p.late(event)
 			return
 		}
-		p.returnTask(j, a, event)
+		p.returnTask(j, a, event, batch.Unsent)
 	case structs.TaskAborted:
 		p.aborted(j, event)
 	case structs.TaskNotWithdrawn:
@@ -114,8 +113,9 @@
 	p.endJob(j, structs.CodeTaskFailed, structs.OutcomeFailed, "a task was aborted: "+event.Error)
 }
 
-// returnTask puts a task back that provably has not started. Tasks with a start record cannot be returned.
-func (p *Pool) returnTask(j *job, a *agent, event *structs.TaskEvent) {
+// returnTask puts a task back that provably has not started. Tasks with a start record cannot be returned. unsent says
+// that the agent has not seen the start, so that no duplicate of the event can come from it.
+func (p *Pool) returnTask(j *job, a *agent, event *structs.TaskEvent, unsent bool) {
 	index := event.Task.Index
 	if j.tasks[index].state != taskSent || j.entry == nil {
 		p.late(event)
@@ -123,10 +123,9 @@
 	}
 	p.detach(j, index)
 	j.tasks[index].state, j.tasks[index].resent = taskWaiting, true
-	if j.excluded == nil {
-		j.excluded = make(map[uint32][]structs.AgentRef)
+	if !unsent {
+		j.exclude(index, a.ref)
 	}
-	j.excluded[index] = append(j.excluded[index], a.ref)
 	j.returned = append(j.returned, index)
 	slices.Sort(j.returned)
 	p.countWaiting(j, 1)
@@ -138,3 +137,11 @@
 	}
 	p.stats.Withdrawn++
 }
+
+// exclude keeps a task from being sent to an agent again.
+func (j *job) exclude(index uint32, ref structs.AgentRef) {
+	if j.excluded == nil {
+		j.excluded = make(map[uint32][]structs.AgentRef)
+	}
+	j.excluded[index] = append(j.excluded[index], ref)
+}
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -39,6 +39,7 @@
 	*rapid.T
 	now      time.Duration
 	pool     *Pool
+	twin     *Pool
 	epoch    structs.Epoch
 	policy   Policy
 	mode     Mode
@@ -64,7 +65,7 @@
 	}
 	m.config.Teams = map[string]structs.TeamConfig{"bakers": {MaxRunning: 9, MaxQueued: 60}}
 	m.policy = rapid.SampledFrom([]Policy{PolicyDefault, PolicyDefault, PolicyFIFO, PolicyRandom}).Draw(t, "policy")
-	m.pool = New(0, Options{Pool: testPool, Epoch: 1, Policy: m.policy})
+	m.newPools()
 	m.step(Configure{Config: m.config})
 	m.step(Adopt{Complete: true})
 	m.setMode(Attached)
@@ -74,6 +75,12 @@
 	return m
 }
 
+// newPools starts a pool and a twin, which gets the same inputs and must act alike.
+func (m *model) newPools() {
+	options := Options{Pool: testPool, Epoch: m.epoch, Policy: m.policy}
+	m.pool, m.twin = New(m.now, options), New(m.now, options)
+}
+
 func (m *model) intn(n int, label string) int { return rapid.IntRange(0, n-1).Draw(m.T, label) }
 func (m *model) chance(percent int, label string) bool {
 	return m.intn(100, label) < percent
@@ -87,7 +94,9 @@
 
 // step passes an input and checks each action.
 func (m *model) step(in Input) {
-	for _, action := range m.pool.Step(m.now, in) {
+	actions := m.pool.Step(m.now, in)
+	require.Equal(m, actions, m.twin.Step(m.now, in), "the same inputs give other actions")
+	for _, action := range actions {
 		switch a := action.(type) {
 		case SendStart:
 			m.checkStart(a)
@@ -423,7 +432,7 @@
 	jobs := m.pool.Snapshot(m.now)
 	clear(m.pending)
 	m.unsaved = nil
-	m.pool = New(m.now, Options{Pool: testPool, Epoch: m.epoch, Policy: m.policy})
+	m.newPools()
 	m.mode = Recovering
 	m.step(Configure{Config: m.config})
 	if len(m.subs) > 0 {
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -89,3 +89,170 @@
 	require.Equal(t, structs.OutcomeComplete, answer.Answer.Outcome)
 	require.Equal(t, submission("a", 20).Payloads, answer.Answer.Results)
 }
+
+func problems(actions []Action) []structs.Code {
+	var codes []structs.Code
+	for _, action := range actions {
+		switch a := action.(type) {
+		case Refuse:
+			codes = append(codes, a.Problem.Code)
+		case Finish:
+			if a.Answer.Problem != nil {
+				codes = append(codes, a.Answer.Problem.Code)
+			}
+		}
+	}
+	return codes
+}
+
+func one(agent AgentUpdate, e structs.TaskEvent) Events {
+	return Events{Agent: agent.Agent, Events: []structs.TaskEvent{e}}
+}
+
+// TestDuplicateRefusalIsNoProof guards against a third start after a refusal that arrives twice: the agent that
+// refused a task does not get it again.
+func TestDuplicateRefusalIsNoProof(t *testing.T) {
+	p := newTestPool(1)
+	task := only[SendStart](t, p.Step(0, Submit{Submission: submission("a", 1)})).Start.Tasks[0].Task
+	refusal := one(testAgent(0), event(task, structs.TaskRefused, ""))
+	require.Empty(t, p.Step(0, refusal))
+	require.Empty(t, p.Step(time.Second, Tick{}))
+	require.Empty(t, p.Step(2*time.Second, refusal))
+	status, _ := p.Status(submission("a", 1).Job, 2*time.Second)
+	require.Contains(t, status.Reason, "refused")
+	require.Equal(t, testAgent(1).Agent, only[SendStart](t, p.Step(3*time.Second, testAgent(1))).Agent)
+	require.EqualValues(t, 1, p.Stats().LateEvents)
+}
+
+// TestUnsentStartIsRepeated guards against a task that can never run because the only agent's link was down for a
+// moment.
+func TestUnsentStartIsRepeated(t *testing.T) {
+	p := newTestPool(1)
+	task := only[SendStart](t, p.Step(0, Submit{Submission: submission("a", 1)})).Start.Tasks[0].Task
+	unsent := one(testAgent(0), event(task, structs.TaskRefused, ""))
+	unsent.Unsent = true
+	require.Empty(t, p.Step(0, unsent))
+	require.Equal(t, task, only[SendStart](t, p.Step(time.Second, Tick{})).Start.Tasks[0].Task)
+}
+
+// TestCancelSendsOneMessagePerAgent guards against tasks that run on after the cancel and against slots that stay
+// occupied until the agents answer.
+func TestCancelSendsOneMessagePerAgent(t *testing.T) {
+	p := newTestPool(2)
+	p.Step(0, Submit{Submission: submission("a", 30), Waiter: 1})
+	p.Step(0, Submit{Submission: submission("b", 16), Waiter: 2})
+	cancels := map[structs.AgentRef]int{}
+	actions := p.Step(0, CancelJob{Job: submission("a", 30).Job, Waiter: 3})
+	for _, action := range actions {
+		if c, ok := action.(SendCancel); ok {
+			cancels[c.Agent]++
+		}
+	}
+	require.Equal(t, map[structs.AgentRef]int{testAgent(0).Agent: 1, testAgent(1).Agent: 1}, cancels)
+	require.Equal(t, []WaiterID{1, 3}, only[Finish](t, actions).Waiters)
+	require.Len(t, starts(actions), 2)
+	require.Equal(t, 16, p.Stats().Running)
+}
+
+// TestSuspendedOwnerClaimsNothing guards against not_run for a job that a new owner may have run by then.
+func TestSuspendedOwnerClaimsNothing(t *testing.T) {
+	p := newTestPool(0)
+	p.Step(0, Submit{Submission: submission("a", 1), Waiter: 1})
+	p.Step(0, SetMode{Mode: Suspended})
+	require.Equal(t, structs.OutcomeNotRun, only[Refuse](t, p.Step(0, Submit{Submission: submission("b", 1)})).Problem.Outcome)
+	answer := only[Finish](t, p.Step(time.Minute, Tick{})).Answer
+	require.Equal(t, structs.OutcomeMayHaveRun, answer.Outcome)
+}
+
+// TestZoneOutMovesQueuedTasks guards against prefetched tasks that stay in a zone that is out.
+func TestZoneOutMovesQueuedTasks(t *testing.T) {
+	p := newTestPool(2)
+	sub := submission("a", 18)
+	sub.DeclaredTime = 50 * time.Millisecond
+	sent := starts(p.Step(0, Submit{Submission: sub}))
+	require.Len(t, sent[testAgent(0).Agent], 9)
+	out := map[string]structs.ZoneConfig{"catania": {State: structs.ZoneOut}}
+	actions := p.Step(0, Configure{Config: &structs.Configuration{Revision: 1, Zones: out}})
+	require.Len(t, only[SendWithdraw](t, actions).Withdraw.Tasks, 9)
+	require.Equal(t, "zone out", p.Agents()[0].State)
+	queued := sent[testAgent(0).Agent][8].Task
+	p.Step(0, one(testAgent(0), event(queued, structs.TaskWithdrawn, "")))
+	ended := sent[testAgent(1).Agent][0].Task
+	moved := only[SendStart](t, p.Step(time.Second, one(testAgent(1), event(ended, structs.TaskFinished, ""))))
+	require.Equal(t, queued, moved.Start.Tasks[0].Task)
+	require.Equal(t, testAgent(1).Agent, moved.Agent)
+	p.Step(time.Second, Configure{Config: &structs.Configuration{Revision: 2}})
+	p.Step(time.Second, Submit{Submission: submission("b", 100)})
+	require.Equal(t, 8, p.Agents()[0].Running)
+}
+
+// TestResultBound guards against unbounded memory and against a lost completion when old results are dropped.
+func TestResultBound(t *testing.T) {
+	p := newTestPool(1)
+	big := string(make([]byte, MaxResultBytes/2+1))
+	for i := range 2 {
+		sub := submission(strconv.Itoa(i), 1)
+		p.Step(0, Submit{Submission: sub, Waiter: 1})
+		done := one(testAgent(0), event(structs.TaskRef{Job: sub.Job}, structs.TaskFinished, big))
+		only[Finish](t, p.Step(0, done))
+	}
+	require.LessOrEqual(t, p.ended.bytes, MaxResultBytes)
+	problem := only[Refuse](t, p.Step(0, Submit{Submission: submission("0", 1)})).Problem
+	require.Equal(t, structs.CodeResultGone, problem.Code)
+	require.Equal(t, structs.OutcomeComplete, problem.Outcome)
+	only[Finish](t, p.Step(0, Wait{Job: submission("1", 1).Job}))
+	p.Step(DefaultRetention, Tick{})
+	require.Empty(t, p.jobs)
+	require.Zero(t, p.ended.bytes)
+}
+
+// TestTicketsExpire guards against a second run under a ticket whose job has been forgotten.
+func TestTicketsExpire(t *testing.T) {
+	p := newTestPool(1)
+	tickets, problem := p.Tickets(2)
+	require.Nil(t, problem)
+	require.NotEqual(t, tickets[0], tickets[1])
+	ticket, ok := structs.ParseTicket(tickets[0])
+	require.True(t, ok)
+	sub := submission("a", 1)
+	sub.TicketEpoch, sub.TicketUnique = ticket.Epoch, ticket.Unique
+	require.Equal(t, []structs.Code{structs.CodeTicketExpired}, problems(p.Step(DefaultRetention, Submit{Submission: sub})))
+	for epoch, want := range map[structs.Epoch]structs.Code{0: structs.CodeTicketExpired, 3: structs.CodeOwnerLost} {
+		sub.TicketEpoch = epoch
+		require.Equal(t, []structs.Code{want}, problems(p.Step(DefaultRetention, Submit{Submission: sub})))
+	}
+	sub.TicketEpoch, sub.TicketUnique = 2, "later"
+	require.Len(t, starts(p.Step(DefaultRetention, Submit{Submission: sub})), 1)
+}
+
+// TestRefusals guards against work beyond quota and capacity and against urgent work refused because of routine work.
+func TestRefusals(t *testing.T) {
+	p := newTestPool(1)
+	config := &structs.Configuration{Revision: 1, Teams: map[string]structs.TeamConfig{"bakers": {MaxQueued: 5000}}}
+	p.Step(0, Configure{Config: config})
+	p.Step(0, Submit{Submission: submission("first", 4000)})
+	require.Equal(t, []structs.Code{structs.CodeQuotaExceeded}, problems(p.Step(0, Submit{Submission: submission("b", 2000)})))
+	other := submission("c", 10)
+	other.Team, other.Deadline = "roofers", 500*time.Millisecond
+	require.Equal(t, []structs.Code{structs.CodeOverloaded}, problems(p.Step(0, Submit{Submission: other})))
+	other.Priority = structs.Urgent
+	require.Empty(t, problems(p.Step(0, Submit{Submission: other})))
+}
+
+// TestNoServer guards against jobs that wait for ever, and against not_run for a job with a started task.
+func TestNoServer(t *testing.T) {
+	p := newTestPool(1)
+	p.Step(0, Submit{Submission: submission("started", 20), Waiter: 1})
+	leaving := testAgent(0)
+	leaving.Leaving = true
+	p.Step(time.Second, leaving)
+	p.Step(time.Second, Submit{Submission: submission("waiting", 1), Waiter: 2})
+	require.Empty(t, problems(p.Step(NoServerLimit, Tick{})))
+	outcomes := map[WaiterID]structs.Outcome{}
+	for _, action := range p.Step(NoServerLimit+time.Second, Tick{}) {
+		if f, ok := action.(Finish); ok {
+			outcomes[f.Waiters[0]] = f.Answer.Outcome
+		}
+	}
+	require.Equal(t, map[WaiterID]structs.Outcome{1: structs.OutcomeMayHaveRun, 2: structs.OutcomeNotRun}, outcomes)
+}
--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -33,6 +33,8 @@
 	demandDecay = 0.9
 	// meanWeight is the weight of the newest task in the average run time of all tasks.
 	meanWeight = 0.01
+	// advanceInterval is the time between updates of the limits that depend on time.
+	advanceInterval = time.Millisecond
 	// heldInterval is the time between assignments of the held-back slots to servers.
 	heldInterval = time.Second
 )
@@ -115,6 +117,7 @@
 	mean           float64
 	attention      []*Server
 	heldShare      float64
+	advanceAt      time.Duration
 	heldAt         time.Duration
 	slots, serving int
 	heldStale      bool
@@ -222,6 +225,10 @@
 // Advance lets time pass: ramps, probes and pauses.
 func (x *Index) Advance(now time.Duration) {
 	x.now = now
+	if now < x.advanceAt {
+		return
+	}
+	x.advanceAt = now + advanceInterval
 	kept := x.attention[:0]
 	for _, s := range x.attention {
 		s.attention = x.advanceServer(s)
