--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -39,7 +39,9 @@
 	*rapid.T
 	now      time.Duration
 	pool     *Pool
+	twin     *Pool
 	epoch    structs.Epoch
+	policy   Policy
 	mode     Mode
 	config   *structs.Configuration
 	agents   []*fakeAgent
@@ -62,7 +64,8 @@
 		pending: map[WaiterID]structs.JobID{}, started: map[structs.TaskRef]int{}, notRun: map[structs.JobID]bool{},
 	}
 	m.config.Teams = map[string]structs.TeamConfig{"bakers": {MaxRunning: 9, MaxQueued: 60}}
-	m.pool = New(0, Options{Pool: testPool, Epoch: 1})
+	m.policy = rapid.SampledFrom([]Policy{PolicyDefault, PolicyDefault, PolicyFIFO, PolicyRandom}).Draw(t, "policy")
+	m.newPools()
 	m.step(Configure{Config: m.config})
 	m.step(Adopt{Complete: true})
 	m.setMode(Attached)
@@ -72,6 +75,12 @@
 	return m
 }
 
+// newPools starts a pool and a twin, which gets the same inputs and must act alike.
+func (m *model) newPools() {
+	options := Options{Pool: testPool, Epoch: m.epoch, Policy: m.policy}
+	m.pool, m.twin = New(m.now, options), New(m.now, options)
+}
+
 func (m *model) intn(n int, label string) int { return rapid.IntRange(0, n-1).Draw(m.T, label) }
 func (m *model) chance(percent int, label string) bool {
 	return m.intn(100, label) < percent
@@ -85,7 +94,9 @@
 
 // step passes an input and checks each action.
 func (m *model) step(in Input) {
-	for _, action := range m.pool.Step(m.now, in) {
+	actions := m.pool.Step(m.now, in)
+	require.Equal(m, actions, m.twin.Step(m.now, in), "the same inputs give other actions")
+	for _, action := range actions {
 		switch a := action.(type) {
 		case SendStart:
 			m.checkStart(a)
@@ -229,8 +240,12 @@
 		}
 	case SendFetch:
 		for _, r := range a.records {
-			if r.task.Job == message.Fetch.Job && r.state == structs.RecordFinished {
+			switch {
+			case r.task.Job != message.Fetch.Job:
+			case r.state == structs.RecordFinished:
 				a.report(r.epoch, event(r.task, structs.TaskFinished, string(r.result)))
+			case r.state == structs.RecordEvicted:
+				a.report(r.epoch, event(r.task, structs.TaskFailed, ""))
 			}
 		}
 	}
@@ -284,6 +299,16 @@
 	}
 }
 
+// evict drops the oldest result.
+func (a *fakeAgent) evict() {
+	for _, r := range a.records {
+		if r.state == structs.RecordFinished {
+			r.state = structs.RecordEvicted
+			return
+		}
+	}
+}
+
 func (m *model) endAny(a *fakeAgent, kind structs.TaskEventKind) {
 	for _, r := range a.records {
 		if r.state == structs.RecordRunning {
@@ -407,7 +432,7 @@
 	jobs := m.pool.Snapshot(m.now)
 	clear(m.pending)
 	m.unsaved = nil
-	m.pool = New(m.now, Options{Pool: testPool, Epoch: m.epoch})
+	m.newPools()
 	m.mode = Recovering
 	m.step(Configure{Config: m.config})
 	if len(m.subs) > 0 {
@@ -509,8 +534,10 @@
 		m.link(a)
 	case op < 92:
 		m.join()
-	case op < 94:
+	case op < 93:
 		a.refusing = !a.refusing
+	case op < 94:
+		a.evict()
 	case op < 96:
 		m.toggleZone()
 	case op < 98:
