Carry the caller's team in forwarded requests

Purpose: the owner must not show or cancel a job of another team. Key hashes of client-chosen keys can be guessed, so the job id alone is no proof. Before: a forwarded fetch named only the job.

--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -312,6 +312,8 @@
 	Wait  time.Duration
 	Count int
 	Query string
+	// Team restricts fetch, status and cancel to the jobs of one team. Empty, as sent for operators, allows all.
+	Team string
 }
 
 // ForwardReply answers a Forward. Exactly one of Answer, Status, Tickets, Problem and Data is set.
