--- /dev/null
+++ b/internal/gateway/agents.go
@@ -0,0 +1,372 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"rosedrift.example/rosedrift/internal/dispatch"
+	"rosedrift.example/rosedrift/internal/link"
+	"rosedrift.example/rosedrift/internal/ownership"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Timing of the agents' duty.
+const (
+	// agentTick is the resolution of heartbeats and of the detection of lost agents. Heartbeats to many agents are
+	// spread over structs.HeartbeatInterval in steps of it.
+	agentTick = 50 * time.Millisecond
+	// ownPause is the gap between two rounds from which on this process counts as paused itself: the agents' silence
+	// during the pause says nothing about them.
+	ownPause = 500 * time.Millisecond
+	// documentPause is the pause before a configuration document is sent again on a link.
+	documentPause = time.Second
+	// beatHistory is the number of remembered heartbeats, more than fit into structs.AckLease.
+	beatHistory = 16
+)
+
+// beat is a sent heartbeat.
+type beat struct {
+	seq    uint64
+	epoch  structs.Epoch
+	sentAt time.Duration
+}
+
+// agentConn is the link with one incarnation of an agent. Fields but ref and link are guarded by agents.mu.
+type agentConn struct {
+	ref   structs.AgentRef
+	link  *link.Link
+	hello structs.AgentHello
+	// pool is empty until the service is configured.
+	pool      structs.PoolID
+	heard     time.Duration
+	echo      uint64
+	seq       uint64
+	beats     [beatHistory]beat
+	sent      heartbeatState
+	sentAt    time.Duration
+	document  time.Duration
+	documents structs.Revision
+	linked    bool
+}
+
+// heartbeatState is the content of a heartbeat whose change is sent at once.
+type heartbeatState struct {
+	revision structs.Revision
+	epoch    structs.Epoch
+	detached bool
+	members  uint64
+}
+
+// change returns the agent's properties for the pool. The caller holds agents.mu.
+func (a *agentConn) change() agentChange {
+	return agentChange{conn: a, update: dispatch.AgentUpdate{
+		Agent: a.ref, Zone: a.hello.Zone, Server: a.hello.Server, Slots: a.hello.Slots,
+		Connections: a.hello.Connections, Leaving: a.hello.Leaving,
+	}}
+}
+
+// changeOf returns the agent's properties and its pool.
+func (a *agents) changeOf(conn *agentConn) (agentChange, structs.PoolID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return conn.change(), conn.pool
+}
+
+// poolOf returns the pool of an agent, empty until its service is configured.
+func (a *agents) poolOf(conn *agentConn) structs.PoolID {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return conn.pool
+}
+
+// agents knows the linked agents of all pools, sends them heartbeats and notices silent ones.
+type agents struct {
+	g    *Gateway
+	kick chan struct{}
+
+	mu   sync.Mutex
+	byID map[structs.AgentID]*agentConn
+}
+
+func newAgents(g *Gateway) *agents {
+	return &agents{g: g, kick: make(chan struct{}, 1), byID: map[structs.AgentID]*agentConn{}}
+}
+
+// wake makes run look for changed heartbeats at once.
+func (a *agents) wake() {
+	select {
+	case a.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run is the duty of heartbeats and loss detection.
+func (a *agents) run(ctx context.Context) error {
+	ticker := time.NewTicker(agentTick)
+	defer ticker.Stop()
+	last := a.g.now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-a.kick:
+		}
+		now := a.g.now()
+		if now-last > ownPause {
+			a.forgive(now - last)
+		}
+		last = now
+		a.dropSilent(ctx, now)
+		a.sendHeartbeats(now)
+	}
+}
+
+// forgive moves the agents' last signs of life past a pause of this process.
+func (a *agents) forgive(pause time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, conn := range a.byID {
+		conn.heard += pause
+	}
+}
+
+func (a *agents) dropSilent(ctx context.Context, now time.Duration) {
+	a.mu.Lock()
+	var lost []*agentConn
+	for id, conn := range a.byID {
+		if now-conn.heard > structs.LostAfter {
+			lost = append(lost, conn)
+			delete(a.byID, id)
+		}
+	}
+	a.mu.Unlock()
+	for _, conn := range lost {
+		a.lost(ctx, conn, "silent")
+	}
+}
+
+// lost reports the end of an agent's incarnation.
+func (a *agents) lost(ctx context.Context, conn *agentConn, why string) {
+	pool := a.poolOf(conn)
+	_ = level.Warn(a.g.logger).Log("msg", "agent lost", "agent", conn.ref, "pool", pool, "why", why)
+	conn.link.Abort()
+	a.g.config.left(conn.ref)
+	if pool.Service == "" {
+		return
+	}
+	a.g.control.push(ctx, ownership.AgentLost{Pool: pool, Agent: conn.ref})
+	if r := a.g.control.runner(pool); r != nil {
+		r.send(dispatch.AgentLost{Agent: conn.ref})
+	}
+}
+
+// sendHeartbeats sends what is due or has changed.
+func (a *agents) sendHeartbeats(now time.Duration) {
+	members, version := a.g.peers.addresses()
+	revision := a.g.config.revision()
+	states := map[structs.PoolID]heartbeatState{}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, conn := range a.byID {
+		state, ok := states[conn.pool]
+		if !ok {
+			state = heartbeatState{revision: revision, members: version}
+			state.epoch, state.detached = a.g.control.heartbeat(conn.pool)
+			states[conn.pool] = state
+		}
+		if conn.linked && (now-conn.sentAt >= structs.HeartbeatInterval-agentTick/2 || conn.sent != state) {
+			conn.beat(now, state, members)
+		}
+	}
+}
+
+// beat sends a heartbeat. The caller holds agents.mu.
+func (a *agentConn) beat(now time.Duration, state heartbeatState, members []string) {
+	a.seq++
+	a.beats[a.seq%beatHistory] = beat{seq: a.seq, epoch: state.epoch, sentAt: now}
+	a.sent, a.sentAt = state, now
+	_ = a.link.Send(link.Control, structs.TypeGatewayHeartbeat, &structs.GatewayHeartbeat{
+		Seq: a.seq, EchoSeq: a.echo, Revision: state.revision, Epoch: state.epoch, Detached: state.detached,
+		Members: members,
+	})
+}
+
+// register handles an AgentHello: a new agent, a new incarnation, a new link or changed properties.
+func (a *agents) register(l *link.Link, hello *structs.AgentHello) *agentConn {
+	pool := a.g.config.poolOfAgent(hello.Service, hello.Agent.ID)
+	now := a.g.now()
+	conn := &agentConn{ref: hello.Agent, link: l, hello: *hello, pool: pool, heard: now, linked: true}
+	a.mu.Lock()
+	old := a.byID[hello.Agent.ID]
+	if old != nil && old.link == l && old.ref == hello.Agent {
+		conn.seq, conn.beats, conn.echo, conn.sent, conn.sentAt = old.seq, old.beats, old.echo, old.sent, old.sentAt
+	}
+	a.byID[hello.Agent.ID] = conn
+	a.mu.Unlock()
+	if old != nil && old.link != l {
+		old.link.Abort()
+	}
+	if old != nil && old.ref != hello.Agent {
+		a.lost(a.g.ctx, old, "replaced by a new incarnation")
+	}
+	members, _ := a.g.peers.addresses()
+	_ = l.Send(link.Control, structs.TypeGatewayHello, &structs.GatewayHello{
+		Gateway: a.g.self, Members: members, Revision: a.g.config.revision(),
+	})
+	_ = level.Info(a.g.logger).Log("msg", "agent linked", "agent", conn.ref, "zone", hello.Zone, "pool", pool,
+		"slots", hello.Slots)
+	a.g.config.sawAgent(conn.ref, hello.Revision)
+	a.syncDocument(conn, hello.Revision)
+	a.introduce(conn)
+	a.wake()
+	return conn
+}
+
+// introduce reports the agent to the ownership machine and, if this gateway owns the pool, to its runner.
+func (a *agents) introduce(conn *agentConn) {
+	change, pool := a.changeOf(conn)
+	if pool.Service == "" {
+		return
+	}
+	a.g.control.push(a.g.ctx, ownership.AgentSeen{Pool: pool, Agent: conn.ref})
+	if r := a.g.control.runner(pool); r != nil {
+		r.send(change)
+	}
+}
+
+// assignPools gives agents their pools after a service was configured.
+func (a *agents) assignPools() {
+	a.mu.Lock()
+	var assigned []*agentConn
+	for _, conn := range a.byID {
+		if conn.pool.Service != "" {
+			continue
+		}
+		conn.pool = a.g.config.poolOfAgent(conn.hello.Service, conn.ref.ID)
+		if conn.pool.Service != "" {
+			assigned = append(assigned, conn)
+		}
+	}
+	a.mu.Unlock()
+	for _, conn := range assigned {
+		a.introduce(conn)
+	}
+}
+
+// heartbeat handles an AgentHeartbeat.
+func (a *agents) heartbeat(conn *agentConn, h *structs.AgentHeartbeat) {
+	now := a.g.now()
+	a.mu.Lock()
+	conn.heard = now
+	conn.echo = max(conn.echo, h.Seq)
+	acked := conn.beats[h.EchoSeq%beatHistory]
+	changed := conn.hello.Leaving != h.Leaving
+	conn.hello.Leaving = h.Leaving
+	change, pool := conn.change(), conn.pool
+	a.mu.Unlock()
+	a.g.config.sawAgent(conn.ref, h.Revision)
+	a.syncDocument(conn, h.Revision)
+	if pool.Service == "" {
+		return
+	}
+	if acked.seq == h.EchoSeq && acked.epoch != 0 && h.Promised <= acked.epoch {
+		a.g.control.push(a.g.ctx, ownership.AgentAck{
+			Pool: pool, Agent: conn.ref, Epoch: acked.epoch, SentAt: acked.sentAt,
+		})
+	}
+	if !changed {
+		return
+	}
+	if r := a.g.control.runner(pool); r != nil {
+		r.send(change)
+	}
+}
+
+// syncDocument sends the configuration to an agent that has an older one and asks one that has a newer one.
+func (a *agents) syncDocument(conn *agentConn, revision structs.Revision) {
+	own := a.g.config.revision()
+	now := a.g.now()
+	a.mu.Lock()
+	due := conn.documents != own || now-conn.document > documentPause
+	if due && revision != own {
+		conn.documents, conn.document = own, now
+	}
+	a.mu.Unlock()
+	if due {
+		a.g.config.sync(conn.link, revision)
+	}
+}
+
+// broadcast sends the configuration to all agents.
+func (a *agents) broadcast() {
+	a.mu.Lock()
+	list := make([]*agentConn, 0, len(a.byID))
+	for _, conn := range a.byID {
+		list = append(list, conn)
+	}
+	a.mu.Unlock()
+	for _, conn := range list {
+		a.syncDocument(conn, 0)
+	}
+}
+
+// closed handles the end of an agent's link. The agent counts as lost only after structs.LostAfter, since it may
+// dial again.
+func (a *agents) closed(conn *agentConn) {
+	a.mu.Lock()
+	current := a.byID[conn.ref.ID]
+	if current == nil || current.link != conn.link {
+		a.mu.Unlock()
+		return
+	}
+	current.linked = false
+	change, pool := current.change(), current.pool
+	change.down = true
+	a.mu.Unlock()
+	if r := a.g.control.runner(pool); r != nil {
+		r.send(change)
+	}
+}
+
+// send sends a message to an incarnation of an agent if it is linked.
+func (a *agents) send(ref structs.AgentRef, class link.Class, typ structs.MessageType, message any) {
+	a.mu.Lock()
+	conn := a.byID[ref.ID]
+	a.mu.Unlock()
+	if conn != nil && conn.ref == ref {
+		_ = conn.link.Send(class, typ, message)
+	}
+}
+
+// ofPool returns the linked agents of a pool in the order of their names.
+func (a *agents) ofPool(pool structs.PoolID) []agentChange {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var list []agentChange
+	for _, conn := range a.byID {
+		if conn.pool == pool && conn.linked {
+			list = append(list, conn.change())
+		}
+	}
+	slices.SortFunc(list, func(x, y agentChange) int { return cmp.Compare(x.conn.ref.ID, y.conn.ref.ID) })
+	return list
+}
+
+func (a *agents) closeAll() {
+	a.mu.Lock()
+	list := make([]*link.Link, 0, len(a.byID))
+	for _, conn := range a.byID {
+		list = append(list, conn.link)
+	}
+	a.mu.Unlock()
+	for _, l := range list {
+		l.Abort()
+		<-l.Done()
+	}
+}
--- /dev/null
+++ b/internal/gateway/control.go
@@ -0,0 +1,345 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"rosedrift.example/rosedrift/internal/dispatch"
+	"rosedrift.example/rosedrift/internal/link"
+	"rosedrift.example/rosedrift/internal/ownership"
+	"rosedrift.example/rosedrift/internal/store"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Bounds of the control duty.
+const (
+	// controlQueue bounds the inputs that wait for the ownership machine.
+	controlQueue = 8192
+	// controlBatch bounds the inputs of one batch.
+	controlBatch = 512
+	// controlTick is the longest time between two inputs of the machine.
+	controlTick = 50 * time.Millisecond
+	// putTimeout bounds one store call for a pool record, readBackPause the pause between attempts to read back.
+	putTimeout    = time.Second
+	readBackPause = 100 * time.Millisecond
+	// handoffLifetime is how long a received snapshot waits for the ownership of its pool.
+	handoffLifetime = 30 * time.Second
+)
+
+// control runs the ownership machine and the runners of the owned pools.
+type control struct {
+	g      *Gateway
+	inputs chan ownership.Input
+
+	// mu guards the machine. Pool runners ask it for their mode before they start tasks.
+	mu      sync.Mutex
+	machine *ownership.Machine
+
+	// poolsMu guards the fields below.
+	poolsMu  sync.RWMutex
+	runners  map[structs.PoolID]*runner
+	handoffs map[structs.PoolID]receivedHandoff
+	// changed is closed and replaced when an ownership changes.
+	changed chan struct{}
+}
+
+type receivedHandoff struct {
+	handoff *structs.Handoff
+	at      time.Duration
+}
+
+func newControl(g *Gateway) *control {
+	return &control{
+		g:        g,
+		inputs:   make(chan ownership.Input, controlQueue),
+		machine:  ownership.New(0, g.self),
+		runners:  map[structs.PoolID]*runner{},
+		handoffs: map[structs.PoolID]receivedHandoff{},
+		changed:  make(chan struct{}),
+	}
+}
+
+// push queues an input, waiting if the queue is full.
+func (c *control) push(ctx context.Context, in ownership.Input) {
+	select {
+	case c.inputs <- in:
+	case <-ctx.Done():
+	}
+}
+
+// run is the duty of the ownership machine.
+func (c *control) run(ctx context.Context) error {
+	ticker := time.NewTicker(controlTick)
+	defer ticker.Stop()
+	batch := make([]ownership.Input, 0, controlBatch)
+	for {
+		batch = batch[:0]
+		select {
+		case <-ctx.Done():
+			c.endAll()
+			return nil
+		case <-ticker.C:
+			batch = append(batch, ownership.Tick{})
+		case in := <-c.inputs:
+			batch = append(batch, in)
+		}
+		batch = c.drain(batch)
+		c.execute(ctx, c.step(batch))
+	}
+}
+
+func (c *control) drain(batch []ownership.Input) []ownership.Input {
+	for len(batch) < controlBatch {
+		select {
+		case in := <-c.inputs:
+			batch = append(batch, in)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (c *control) step(batch []ownership.Input) []ownership.Action {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var actions []ownership.Action
+	for _, in := range batch {
+		actions = append(actions, c.machine.Step(c.g.now(), in)...)
+	}
+	return actions
+}
+
+// execute carries out the machine's orders. It holds no lock while it waits for a runner's queue.
+func (c *control) execute(ctx context.Context, actions []ownership.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case ownership.PutRecord:
+			c.g.spawn(func() { c.putRecord(ctx, a) })
+		case ownership.SendFence:
+			c.g.agents.send(a.Agent, link.Control, structs.TypeFence, a.Fence)
+		case ownership.ReadJournal:
+			c.g.spawn(func() { c.g.journal.readBack(ctx, a.Pool, a.Epoch) })
+		case ownership.Acquired:
+			c.acquired(ctx, a)
+		case ownership.Adopted:
+			c.adopted(a)
+		case ownership.ModeChanged:
+			c.modeChanged(a)
+		case ownership.EligibleChanged:
+			if r := c.runner(a.Pool); r != nil {
+				r.send(eligibility{agent: a.Agent, eligible: a.Eligible})
+			}
+		case ownership.Lost:
+			c.lost(a)
+		}
+	}
+}
+
+func (c *control) acquired(ctx context.Context, a ownership.Acquired) {
+	_ = level.Info(c.g.logger).Log("msg", "pool acquired", "pool", a.Pool, "epoch", a.Epoch, "handover", a.Handover)
+	r := newRunner(c.g, a.Pool, a.Epoch)
+	c.poolsMu.Lock()
+	old := c.runners[a.Pool]
+	c.runners[a.Pool] = r
+	c.poolsMu.Unlock()
+	if old != nil {
+		old.end()
+	}
+	r.seed(c.g.config.current(), c.g.agents.ofPool(a.Pool))
+	c.g.spawn(func() { r.run(ctx) })
+	c.ownershipChanged()
+}
+
+func (c *control) adopted(a ownership.Adopted) {
+	r := c.runner(a.Pool)
+	if r == nil || r.epoch != a.Epoch {
+		return
+	}
+	c.poolsMu.Lock()
+	received, ok := c.handoffs[a.Pool]
+	delete(c.handoffs, a.Pool)
+	c.poolsMu.Unlock()
+	_ = level.Info(c.g.logger).Log("msg", "pool recovered", "pool", a.Pool, "epoch", a.Epoch,
+		"complete", a.Adopt.Complete, "doubt", a.Adopt.Doubt, "snapshot", ok)
+	if ok && received.handoff.Epoch+1 == a.Epoch {
+		r.send(dispatch.Restore{Jobs: received.handoff.Jobs})
+	} else {
+		r.send(a.Adopt)
+	}
+	c.ownershipChanged()
+}
+
+func (c *control) modeChanged(a ownership.ModeChanged) {
+	_ = level.Info(c.g.logger).Log("msg", "pool mode changed", "pool", a.Pool, "epoch", a.Epoch, "mode", a.Mode)
+	if r := c.runner(a.Pool); r != nil && r.epoch == a.Epoch {
+		r.send(dispatch.Tick{})
+	}
+	c.g.agents.wake()
+	c.ownershipChanged()
+}
+
+func (c *control) lost(a ownership.Lost) {
+	_ = level.Warn(c.g.logger).Log("msg", "pool lost", "pool", a.Pool, "epoch", a.Epoch)
+	c.poolsMu.Lock()
+	r := c.runners[a.Pool]
+	if r != nil && r.epoch <= a.Epoch {
+		delete(c.runners, a.Pool)
+	}
+	c.poolsMu.Unlock()
+	if r != nil && r.epoch <= a.Epoch {
+		r.end()
+	}
+	c.ownershipChanged()
+}
+
+// endAll ends the runners when the gateway ends.
+func (c *control) endAll() {
+	for _, r := range c.all() {
+		r.end()
+	}
+}
+
+// runner returns the runner of an owned pool or nil.
+func (c *control) runner(pool structs.PoolID) *runner {
+	c.poolsMu.RLock()
+	defer c.poolsMu.RUnlock()
+	return c.runners[pool]
+}
+
+// all returns the runners of all owned pools.
+func (c *control) all() []*runner {
+	c.poolsMu.RLock()
+	defer c.poolsMu.RUnlock()
+	list := make([]*runner, 0, len(c.runners))
+	for _, r := range c.runners {
+		list = append(list, r)
+	}
+	return list
+}
+
+// keepHandoff stores a received snapshot until the pool is acquired.
+func (c *control) keepHandoff(h *structs.Handoff) {
+	c.poolsMu.Lock()
+	defer c.poolsMu.Unlock()
+	now := c.g.now()
+	for pool, old := range c.handoffs {
+		if now-old.at > handoffLifetime {
+			delete(c.handoffs, pool)
+		}
+	}
+	c.handoffs[h.Pool] = receivedHandoff{handoff: h, at: now}
+}
+
+// mode returns the right to start tasks at this moment. The machine compares with the clock, so a process that was
+// paused learns here that its right has lapsed.
+func (c *control) mode(pool structs.PoolID) (structs.Epoch, dispatch.Mode, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Mode(pool, c.g.now())
+}
+
+// owner returns the owner of a pool as far as this gateway knows.
+func (c *control) owner(pool structs.PoolID) (structs.GatewayRef, structs.Epoch, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Owner(pool)
+}
+
+// heartbeat returns the pool-dependent fields of a GatewayHeartbeat.
+func (c *control) heartbeat(pool structs.PoolID) (structs.Epoch, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	epoch, _, owned := c.machine.Mode(pool, c.g.now())
+	if !owned {
+		return 0, false
+	}
+	return epoch, c.machine.DetachedFlag(pool)
+}
+
+// hasMajority reports whether this gateway sees a majority of the pool's roster.
+func (c *control) hasMajority(pool structs.PoolID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.HasMajority(pool, c.g.now())
+}
+
+// owned lists the pools of this gateway for heartbeats to peers.
+func (c *control) owned() []structs.OwnedPool {
+	var list []structs.OwnedPool
+	for _, r := range c.all() {
+		epoch, mode, ok := c.mode(r.pool)
+		serving := mode == dispatch.Attached || mode == dispatch.Detached
+		if ok {
+			list = append(list, structs.OwnedPool{Pool: r.pool, Epoch: epoch, Serving: serving})
+		}
+	}
+	return list
+}
+
+// ownershipChanged wakes requests that wait for an owner.
+func (c *control) ownershipChanged() {
+	c.poolsMu.Lock()
+	defer c.poolsMu.Unlock()
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// change returns a channel that is closed at the next change of an ownership.
+func (c *control) change() <-chan struct{} {
+	c.poolsMu.RLock()
+	defer c.poolsMu.RUnlock()
+	return c.changed
+}
+
+// putRecord writes a pool record and reports the result. If the write was not confirmed, the record is read back
+// until the store answers: the machine has at most one write of a pool in flight and must know how it ended.
+func (c *control) putRecord(ctx context.Context, a ownership.PutRecord) {
+	value, err := json.Marshal(a.Record)
+	if err != nil {
+		_ = level.Error(c.g.logger).Log("msg", "pool record cannot be encoded", "pool", a.Record.Pool, "err", err)
+		return
+	}
+	key := recordKey(a.Record.Pool)
+	callCtx, cancel := context.WithTimeout(ctx, putTimeout)
+	version, err := c.g.options.Store.Put(callCtx, key, value, a.Expect, 0)
+	cancel()
+	if err == nil {
+		c.push(ctx, ownership.PutResult{Record: a.Record, OK: true, Version: version})
+		return
+	}
+	_ = level.Info(c.g.logger).Log("msg", "pool record not confirmed", "pool", a.Record.Pool, "err", err)
+	for ctx.Err() == nil && !c.readBack(ctx, key, value, a) {
+		sleep(ctx, readBackPause)
+	}
+}
+
+// readBack resolves a write without confirmation and reports whether it is resolved.
+func (c *control) readBack(ctx context.Context, key string, value []byte, a ownership.PutRecord) bool {
+	callCtx, cancel := context.WithTimeout(ctx, putTimeout)
+	defer cancel()
+	entry, err := c.g.options.Store.Get(callCtx, key)
+	if store.IsKind(err, store.KindNotFound) {
+		c.push(ctx, ownership.PutResult{Record: a.Record})
+		return true
+	}
+	if err != nil {
+		return false
+	}
+	record, ok := c.g.parseRecord(entry)
+	if !ok {
+		return false
+	}
+	if entry.Version > a.Expect && bytes.Equal(entry.Value, value) {
+		c.push(ctx, ownership.PutResult{Record: a.Record, OK: true, Version: entry.Version})
+		return true
+	}
+	c.push(ctx, ownership.ObservedRecord{Record: record, Version: entry.Version, Revision: entry.Revision})
+	c.push(ctx, ownership.PutResult{Record: record, Version: entry.Version})
+	return true
+}
--- /dev/null
+++ b/internal/gateway/custody.go
@@ -0,0 +1,261 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// custodyGrace is how long a submission is kept beyond its deadline for the owner's statement of the outcome. It
+// covers a takeover.
+const custodyGrace = 10 * time.Second
+
+// custodyOf is the entry side's keeping of one submission: the body stays here until the job's end is known, so that
+// it can be presented to a new owner.
+type custodyOf struct {
+	submission structs.Submission
+	// key is the idempotency key or ticket.
+	key string
+	// ownKey is true if the key was issued for this request, so that no earlier request can have used it.
+	ownKey bool
+	// waits is true if the caller waits for the answer; otherwise acceptance is asked for first.
+	waits    bool
+	admitted time.Time
+	deadline time.Time
+	grant    *grant
+
+	// accepted is closed when an owner has accepted the job or it has ended, done when the end is known. reply is
+	// set before done is closed, and has an Answer or a Problem.
+	accepted   chan struct{}
+	acceptOnce sync.Once
+	done       chan struct{}
+	reply      *structs.ForwardReply
+	status     atomic.Pointer[structs.JobStatus]
+
+	// unresolved are the ownerships to which the body was sent without a reply.
+	unresolved map[target]bool
+	suspended  time.Time
+}
+
+// custodies are the kept submissions by job.
+type custodies struct {
+	mu    sync.Mutex
+	byJob map[structs.JobID]*custodyOf
+	count int
+	// empty is closed and replaced when the last custody ends.
+	empty chan struct{}
+}
+
+func newCustodies() *custodies {
+	return &custodies{byJob: map[structs.JobID]*custodyOf{}, empty: make(chan struct{})}
+}
+
+func (c *custodies) add(k *custodyOf) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.byJob[k.submission.Job] = k
+	c.count++
+}
+
+func (c *custodies) remove(k *custodyOf) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byJob[k.submission.Job] == k {
+		delete(c.byJob, k.submission.Job)
+	}
+	c.count--
+	if c.count == 0 {
+		close(c.empty)
+		c.empty = make(chan struct{})
+	}
+}
+
+func (c *custodies) of(job structs.JobID) *custodyOf {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.byJob[job]
+}
+
+// idle returns the number of kept submissions and a channel that is closed when the last one ends.
+func (c *custodies) idle() (int, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.count, c.empty
+}
+
+// keep takes a submission into custody and delivers it in a goroutine, one per job.
+func (g *Gateway) keep(k *custodyOf) {
+	k.accepted, k.done = make(chan struct{}), make(chan struct{})
+	k.unresolved = map[target]bool{}
+	k.admitted = time.Now()
+	k.deadline = k.admitted.Add(k.submission.Deadline)
+	g.metrics.submissions.Inc(1)
+	g.custody.add(k)
+	g.spawn(func() {
+		defer g.custody.remove(k)
+		defer k.grant.release()
+		g.deliver(g.ctx, k)
+	})
+}
+
+// deliver presents the submission to the owner, and to the next one after the loss of an owner, until the end of the
+// job is known or its time is over.
+func (g *Gateway) deliver(ctx context.Context, k *custodyOf) {
+	ctx, cancel := context.WithDeadline(ctx, k.deadline.Add(custodyGrace))
+	defer cancel()
+	present := true
+	for {
+		changed := g.control.change()
+		reply, to, err := g.exchange(ctx, k.forward(present))
+		if ctx.Err() != nil || (time.Now().After(k.deadline) && !k.wasAccepted()) {
+			k.note(reply, to, err)
+			k.finish(k.timeOver())
+			return
+		}
+		if k.note(reply, to, err) {
+			return
+		}
+		pause, again := k.again(reply, err)
+		if !again {
+			present = present && reply.Status == nil
+			continue
+		}
+		present = true
+		g.metrics.reforwards.Inc(1)
+		g.awaitChange(ctx, changed, pause)
+	}
+}
+
+// forward returns the next request: the body, or a wait for the end of a job that its owner has accepted.
+func (k *custodyOf) forward(present bool) structs.Forward {
+	wait := min(maxForwardWait, max(time.Until(k.deadline)+custodyGrace, 0))
+	f := structs.Forward{Pool: k.submission.Job.Pool, Job: k.submission.Job, Team: k.submission.Team, Wait: wait}
+	if !present {
+		f.Kind = structs.ForwardFetch
+		return f
+	}
+	f.Kind = structs.ForwardSubmit
+	submission := k.submission
+	// The deadline counts from the admission here, also for a later owner.
+	submission.Deadline = max(time.Until(k.deadline), time.Millisecond)
+	f.Submission = &submission
+	if !k.waits && !k.wasAccepted() {
+		f.Wait = 0
+	}
+	return f
+}
+
+// note evaluates a reply and reports whether it ended the custody.
+func (k *custodyOf) note(reply *structs.ForwardReply, to target, err error) bool {
+	switch {
+	case err != nil:
+		if to != (target{}) {
+			k.unresolved[to] = true
+		}
+		return false
+	case reply.Answer != nil:
+		k.finish(reply)
+		return true
+	case reply.Status != nil:
+		delete(k.unresolved, to)
+		k.status.Store(reply.Status)
+		k.accept()
+		return false
+	}
+	return k.noteProblem(reply, to)
+}
+
+func (k *custodyOf) noteProblem(reply *structs.ForwardReply, to target) bool {
+	p := reply.Problem
+	if p == nil {
+		k.finish(&structs.ForwardReply{Problem: &structs.Problem{
+			Code: structs.CodeInternal, Outcome: structs.OutcomeMayHaveRun, Detail: "the owner sent an empty reply",
+		}})
+		return true
+	}
+	if _, again := k.again(reply, nil); again {
+		if p.Outcome == structs.OutcomeMayHaveRun && p.Code != structs.CodeNotFound {
+			k.unresolved[to] = true
+		}
+		return false
+	}
+	k.finish(k.truthful(reply, to))
+	return true
+}
+
+// again returns the pause before the body is presented again, and false if the reply is no reason to.
+func (k *custodyOf) again(reply *structs.ForwardReply, err error) (time.Duration, bool) {
+	if pause, again := retryLater(reply, err); again {
+		return pause, true
+	}
+	p := reply.Problem
+	if p == nil {
+		return 0, false
+	}
+	if p.Code == structs.CodeNotFound {
+		// A new owner does not know a job whose body it has not seen.
+		return 0, true
+	}
+	if p.Code != structs.CodeUnavailable {
+		return 0, false
+	}
+	if k.suspended.IsZero() {
+		k.suspended = time.Now()
+	}
+	return retryPause, time.Since(k.suspended) < suspendedPatience
+}
+
+// truthful returns the refusal with an outcome that also covers earlier attempts of this request: an owner that says
+// not_run now may have taken the body over a link that broke before its reply.
+func (k *custodyOf) truthful(reply *structs.ForwardReply, to target) *structs.ForwardReply {
+	p := reply.Problem
+	if p.Outcome != structs.OutcomeNotRun || !k.unresolved[to] || p.Code == structs.CodeKeyReused {
+		return reply
+	}
+	problem := *p
+	problem.Outcome = structs.OutcomeMayHaveRun
+	return &structs.ForwardReply{Problem: &problem}
+}
+
+// timeOver is the reply when no owner has stated the end in time. Without an owner's word only a key that was
+// issued for this request proves that nothing ran.
+func (k *custodyOf) timeOver() *structs.ForwardReply {
+	outcome := structs.OutcomeMayHaveRun
+	if k.ownKey && len(k.unresolved) == 0 && !k.wasAccepted() {
+		outcome = structs.OutcomeNotRun
+	}
+	return &structs.ForwardReply{Problem: ownerUnavailable(outcome)}
+}
+
+func (k *custodyOf) accept() { k.acceptOnce.Do(func() { close(k.accepted) }) }
+
+func (k *custodyOf) wasAccepted() bool {
+	select {
+	case <-k.accepted:
+		return true
+	default:
+		return false
+	}
+}
+
+func (k *custodyOf) isDone() bool {
+	select {
+	case <-k.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// finish states the end. Only the first statement counts.
+func (k *custodyOf) finish(reply *structs.ForwardReply) {
+	if k.isDone() {
+		return
+	}
+	k.reply = reply
+	close(k.done)
+	k.accept()
+}
--- /dev/null
+++ b/internal/gateway/events.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Timing of event streams.
+const (
+	// eventInterval is the shortest time between two progress events.
+	eventInterval = 250 * time.Millisecond
+	// eventKeepAlive is the longest time without a line on the stream.
+	eventKeepAlive = 10 * time.Second
+)
+
+// endBody is the data of the last event of a stream. Results are fetched with GET /v1/jobs/{id}.
+type endBody struct {
+	Job     string `json:"job"`
+	Outcome string `json:"outcome"`
+	Code    string `json:"code,omitempty"`
+	Detail  string `json:"detail,omitempty"`
+}
+
+// eventStream writes server-sent events. Only the latest state of the job is ever held for a caller.
+type eventStream struct {
+	out     *patientWriter
+	control *http.ResponseController
+	last    []byte
+	written time.Time
+}
+
+// getEvents streams the progress of a job: events progress with the state and at last one event end.
+func (g *Gateway) getEvents(w http.ResponseWriter, r *http.Request, team string) *structs.Problem {
+	job, problem := parseJob(r)
+	if problem != nil {
+		return problem
+	}
+	if g.streams.Add(1) > maxStreams {
+		g.streams.Add(-1)
+		return &structs.Problem{
+			Code: structs.CodeTooManyRequests, Outcome: structs.OutcomePending, RetryAfter: time.Second,
+			Detail: "too many event streams are open",
+		}
+	}
+	defer g.streams.Add(-1)
+	reply, problem := g.about(r.Context(), structs.Forward{Kind: structs.ForwardFetch, Job: job, Team: team})
+	if problem != nil {
+		return problem
+	}
+	control := http.NewResponseController(w)
+	s := &eventStream{out: &patientWriter{w, control}, control: control}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	limitWrite(w)
+	w.WriteHeader(http.StatusOK)
+	for reply != nil && reply.Status != nil && s.progress(reply.Status) == nil {
+		started := time.Now()
+		reply, problem = g.about(r.Context(), structs.Forward{
+			Kind: structs.ForwardFetch, Job: job, Team: team, Wait: eventInterval,
+		})
+		ended := problem != nil || reply.Answer != nil
+		if !ended && !sleep(r.Context(), eventInterval-time.Since(started)) {
+			return nil
+		}
+	}
+	s.end(job, reply, problem)
+	return nil
+}
+
+func (s *eventStream) progress(status *structs.JobStatus) error {
+	body := newStatusBody(status, "")
+	body.AgeMS = 0
+	unchanged, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	if bytes.Equal(unchanged, s.last) {
+		if time.Since(s.written) < eventKeepAlive {
+			return nil
+		}
+		return s.write([]byte(": still waiting\n\n"))
+	}
+	s.last = unchanged
+	return s.event("progress", newStatusBody(status, ""))
+}
+
+func (s *eventStream) end(job structs.JobID, reply *structs.ForwardReply, problem *structs.Problem) {
+	body := endBody{Job: job.String()}
+	switch {
+	case problem != nil:
+		body.Outcome, body.Code, body.Detail = problem.Outcome.String(), string(problem.Code), problem.Detail
+	case reply != nil && reply.Answer != nil:
+		body.Outcome = reply.Answer.Outcome.String()
+		if p := reply.Answer.Problem; p != nil {
+			body.Code, body.Detail = string(p.Code), p.Detail
+		}
+	default:
+		return
+	}
+	_ = s.event("end", body)
+}
+
+func (s *eventStream) event(name string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	return s.write([]byte("event: " + name + "\ndata: " + string(data) + "\n\n"))
+}
+
+func (s *eventStream) write(text []byte) error {
+	s.written = time.Now()
+	if _, err := s.out.Write(text); err != nil {
+		return err
+	}
+	return s.control.Flush()
+}
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rosedrift.example/rosedrift/internal/link"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Timing of requests to owners.
+const (
+	// askLimit bounds the search for an owner by requests other than submissions. A takeover takes 3 to 5 s.
+	askLimit = 8 * time.Second
+	// retryPause is the pause before a request is sent again after its owner was lost.
+	retryPause = 50 * time.Millisecond
+	// suspendedPatience is how long a submission is presented again to a suspended owner: another gateway may take
+	// the pool over meanwhile.
+	suspendedPatience = 5 * time.Second
+)
+
+// target is an ownership to which a request was sent.
+type target struct {
+	owner structs.GatewayRef
+	epoch structs.Epoch
+}
+
+// serveForward is the owner side's entrance for requests of this and other gateways.
+func (g *Gateway) serveForward(q *request) {
+	r := g.control.runner(q.Pool)
+	if r == nil {
+		q.refuse(misdirected(structs.OutcomeNotRun, "this gateway does not own the pool"))
+		return
+	}
+	r.offer(q)
+}
+
+// exchange sends a request to the owner of its pool, once. Errors are errNoOwner, after which nothing was sent, and
+// errCut. The target is set if something was sent.
+func (g *Gateway) exchange(ctx context.Context, f structs.Forward) (*structs.ForwardReply, target, error) {
+	owner, epoch, known := g.control.owner(f.Pool)
+	if !known {
+		return nil, target{}, errNoOwner
+	}
+	to := target{owner: owner, epoch: epoch}
+	if owner == g.self {
+		reply, err := g.exchangeLocal(ctx, f)
+		return reply, to, err
+	}
+	out := g.peers.outboundTo(owner)
+	if out == nil {
+		return nil, target{}, errNoOwner
+	}
+	reply, err := out.call(ctx, f)
+	if errors.Is(err, errNoOwner) {
+		return nil, target{}, err
+	}
+	return reply, to, err
+}
+
+// exchangeLocal passes a request to a runner of this gateway. A runner answers every request, so only the context
+// ends the wait early.
+func (g *Gateway) exchangeLocal(ctx context.Context, f structs.Forward) (*structs.ForwardReply, error) {
+	replies := make(chan *structs.ForwardReply, 1)
+	g.serveForward(&request{Forward: f, reply: func(_ link.Class, r *structs.ForwardReply) { replies <- r }})
+	select {
+	case reply := <-replies:
+		return reply, nil
+	case <-ctx.Done():
+		return nil, errCut
+	}
+}
+
+// retryLater returns the pause before a request is worth another attempt, and false if the reply is final.
+func retryLater(reply *structs.ForwardReply, err error) (time.Duration, bool) {
+	if err != nil {
+		return retryPause, true
+	}
+	p := reply.Problem
+	if p == nil || (!isMisdirected(p) && p.Code != structs.CodeOwnerLost) {
+		return 0, false
+	}
+	if p.RetryAfter > 0 {
+		return p.RetryAfter, true
+	}
+	return retryPause, true
+}
+
+// awaitChange pauses, or less if an ownership changes meanwhile. It reports whether the context is still live.
+func (g *Gateway) awaitChange(ctx context.Context, changed <-chan struct{}, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+		// Many requests wait for the same change; a short pause lets the new owner's link come up.
+		return sleep(ctx, retryPause/10)
+	case <-timer.C:
+		return true
+	}
+}
+
+// ask sends a request that may be repeated (fetch, status, cancel, tickets) until an owner answers. The problem for
+// a missing owner leaves open whether the job ran.
+func (g *Gateway) ask(ctx context.Context, f structs.Forward) (*structs.ForwardReply, *structs.Problem) {
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+askLimit)
+	defer cancel()
+	until := time.Now().Add(f.Wait)
+	for {
+		changed := g.control.change()
+		reply, _, err := g.exchange(ctx, f)
+		pause, again := retryLater(reply, err)
+		if !again {
+			return reply, reply.Problem
+		}
+		if !g.awaitChange(ctx, changed, pause) {
+			return nil, ownerUnavailable(structs.OutcomeMayHaveRun)
+		}
+		f.Wait = max(0, min(f.Wait, time.Until(until)))
+	}
+}
+
+// ownerUnavailable is the problem for a pool without a reachable owner.
+func ownerUnavailable(outcome structs.Outcome) *structs.Problem {
+	return &structs.Problem{
+		Code: structs.CodeUnavailable, Outcome: outcome, RetryAfter: time.Second,
+		Detail: "the gateway that owns the pool of this job is not reachable; ask or submit again with the same key",
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,283 @@
+// Package gateway is the process shell of a rosedrift gateway: the caller API, the links with agents and other
+// gateways, the store, and one goroutine for each duty around the state machines of packages ownership and dispatch.
+//
+// A gateway has two sides. The entry side takes callers' requests, keeps submitted bodies and delivers them to the
+// owner of their pool. The owner side runs the pools that this gateway owns. Both work on structs.Forward and
+// structs.ForwardReply, whether the other side is in the same process or behind a link.
+package gateway
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"rosedrift.example/rosedrift/internal/admin"
+	"rosedrift.example/rosedrift/internal/dispatch"
+	"rosedrift.example/rosedrift/internal/link"
+	"rosedrift.example/rosedrift/internal/store"
+	"rosedrift.example/rosedrift/internal/structs"
+	"rosedrift.example/rosedrift/internal/telemetry"
+)
+
+// Authenticator finds the team of a caller's request. A refusal has outcome not_run.
+type Authenticator interface {
+	Team(r *http.Request) (string, *structs.Problem)
+}
+
+// Options configures a gateway. Name, Zone, Store, Listener and LinkListener are required.
+type Options struct {
+	Name structs.GatewayID
+	Zone string
+	// Incarnation must differ between runs under one name; 0 draws a random one.
+	Incarnation structs.Incarnation
+	Store       store.Store
+	// Listener serves callers and operators, LinkListener agents and gateways. Run closes both.
+	Listener     net.Listener
+	LinkListener net.Listener
+	// Advertise is the address (host:port) of LinkListener for others; empty means the listener's own.
+	Advertise string
+	Logger    log.Logger
+	// Metrics may be nil.
+	Metrics *telemetry.Metrics
+	// ServerTLS and ClientTLS secure listeners and dialed links; nil means plain TCP.
+	ServerTLS *tls.Config
+	LinkTLS   *tls.Config
+	ClientTLS *tls.Config
+	// LinkHeader is sent when dialing other gateways; CheckLink checks it on accepted links and may be nil.
+	LinkHeader http.Header
+	CheckLink  func(r *http.Request) bool
+	// LinkFault injects faults into all links in tests.
+	LinkFault *link.Fault
+	// Auth is LoopbackAuth if nil.
+	Auth Authenticator
+	// Admin builds the handler of the admin API and the status page; nil serves none.
+	Admin func(admin.System) http.Handler
+	// DrainTimeout bounds a planned stop, 0 means a minute.
+	DrainTimeout time.Duration
+	// MaxBodyBytes bounds a body whatever the configuration says, HeldBytes the memory for all bodies of callers.
+	MaxBodyBytes int64
+	HeldBytes    int64
+	// Policy and Seed are passed to the pools.
+	Policy dispatch.Policy
+	Seed   uint64
+}
+
+// Defaults of Options.
+const (
+	defaultDrainTimeout = time.Minute
+	defaultMaxBodyBytes = 64 << 20
+	defaultHeldBytes    = 512 << 20
+)
+
+// Gateway is one gateway process. Create it with New and call Run once.
+type Gateway struct {
+	options Options
+	self    structs.GatewayRef
+	logger  log.Logger
+	scope   tally.Scope
+	health  *telemetry.Health
+	// started is the origin of the monotonic time that all duties and state machines use.
+	started time.Time
+
+	control *control
+	agents  *agents
+	peers   *peers
+	config  *config
+	journal *journalDuty
+	custody *custodies
+	tickets *ticketCache
+	held    memory
+	streams atomic.Int64
+	metrics entryMetrics
+
+	// ctx ends when the gateway ends; it is set by Run before any duty starts.
+	ctx context.Context
+	// background counts pool runners, custodies and other goroutines besides the duties.
+	background sync.WaitGroup
+	stopping   atomic.Bool
+	stop       chan struct{}
+	stopOnce   sync.Once
+	// lastRenewal is the time of the last successful lease renewal, 0 before the first.
+	lastRenewal atomic.Int64
+	// lease is the store lease in force, 0 if there is none.
+	lease atomic.Uint64
+}
+
+// New returns a gateway that has not started.
+func New(options Options) (*Gateway, error) {
+	if err := complete(&options); err != nil {
+		return nil, err
+	}
+	g := &Gateway{
+		options: options,
+		self:    structs.GatewayRef{ID: options.Name, Incarnation: options.Incarnation},
+		logger:  log.With(options.Logger, "gateway", string(options.Name)),
+		scope:   tally.NoopScope,
+		health:  telemetry.NewHealth("no store lease yet"),
+		started: time.Now(),
+		stop:    make(chan struct{}),
+		held:    memory{limit: options.HeldBytes},
+	}
+	if options.Metrics != nil {
+		g.scope = options.Metrics.Scope
+	}
+	g.control = newControl(g)
+	g.agents = newAgents(g)
+	g.peers = newPeers(g)
+	g.config = newConfig(g)
+	g.journal = newJournalDuty(g)
+	g.custody = newCustodies()
+	g.tickets = newTicketCache(g)
+	g.metrics = newEntryMetrics(g.scope)
+	return g, nil
+}
+
+func complete(o *Options) error {
+	if o.Name == "" || o.Zone == "" || o.Store == nil || o.Listener == nil || o.LinkListener == nil {
+		return errors.New("gateway: name, zone, store and both listeners are required")
+	}
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
+	if o.Advertise == "" {
+		o.Advertise = o.LinkListener.Addr().String()
+	}
+	for o.Incarnation == 0 {
+		o.Incarnation = structs.Incarnation(rand.Uint64() >> 1)
+	}
+	if o.Auth == nil {
+		o.Auth = LoopbackAuth{}
+	}
+	if o.DrainTimeout <= 0 {
+		o.DrainTimeout = defaultDrainTimeout
+	}
+	if o.MaxBodyBytes <= 0 {
+		o.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if o.HeldBytes <= 0 {
+		o.HeldBytes = defaultHeldBytes
+	}
+	return nil
+}
+
+// now returns the monotonic time since the start of the gateway.
+func (g *Gateway) now() time.Duration { return time.Since(g.started) }
+
+// Health returns the readiness of the gateway.
+func (g *Gateway) Health() *telemetry.Health { return g.health }
+
+// Ref returns the gateway's name and incarnation.
+func (g *Gateway) Ref() structs.GatewayRef { return g.self }
+
+// Stop begins a planned stop: pools are handed over, callers' requests finish and Run returns nil.
+func (g *Gateway) Stop() { g.stopOnce.Do(func() { close(g.stop) }) }
+
+// errStopped ends the duties after a planned stop.
+var errStopped = errors.New("gateway: planned stop is complete")
+
+// Run serves until the context ends or a planned stop is complete. The end of the context is abrupt: nothing is
+// handed over, as after a crash. Run returns when all goroutines of the gateway have ended.
+func (g *Gateway) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	g.ctx = ctx
+	duties := []func(context.Context) error{
+		g.serveAPI, g.serveLinks, g.control.run, g.renewLease, g.agents.run, g.peers.run, g.journal.run,
+		g.watchMembers, g.watchRecords, g.watchConfig, g.awaitStop,
+	}
+	for _, duty := range duties {
+		group.Go(func() error { return duty(ctx) })
+	}
+	_ = level.Info(g.logger).Log("msg", "gateway started", "ref", g.self, "zone", g.options.Zone,
+		"api", g.options.Listener.Addr(), "links", g.options.Advertise)
+	err := group.Wait()
+	g.agents.closeAll()
+	g.peers.closeAll()
+	g.background.Wait()
+	if errors.Is(err, errStopped) || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// spawn runs a function in a goroutine that Run waits for.
+func (g *Gateway) spawn(f func()) {
+	g.background.Add(1)
+	go func() {
+		defer g.background.Done()
+		f()
+	}()
+}
+
+// sleep waits and reports whether the context is still live.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (g *Gateway) serveAPI(ctx context.Context) error {
+	server := &http.Server{
+		Handler:           g.handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          nil,
+	}
+	return serve(ctx, server, limitListener(g.options.Listener, maxConnections), g.options.ServerTLS)
+}
+
+func (g *Gateway) serveLinks(ctx context.Context) error {
+	server := &http.Server{Handler: http.HandlerFunc(g.acceptLink), ReadHeaderTimeout: readHeaderTimeout}
+	return serve(ctx, server, g.options.LinkListener, g.options.LinkTLS)
+}
+
+func serve(ctx context.Context, server *http.Server, listener net.Listener, secure *tls.Config) error {
+	if secure != nil {
+		listener = tls.NewListener(listener, secure)
+	}
+	unhook := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer unhook()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("gateway: serving %s: %w", listener.Addr(), err)
+	}
+	return nil
+}
+
+// LoopbackAuth takes the team from the header Rosedrift-Team. It is for listeners on loopback only.
+type LoopbackAuth struct{}
+
+// defaultTeam is the team of requests without a header.
+const defaultTeam = "default"
+
+// Team implements Authenticator.
+func (LoopbackAuth) Team(r *http.Request) (string, *structs.Problem) {
+	team := r.Header.Get("Rosedrift-Team")
+	if team == "" {
+		return defaultTeam, nil
+	}
+	if !structs.ValidName(team) {
+		return "", refusal(structs.CodeBadRequest, "the header Rosedrift-Team is no valid name")
+	}
+	return team, nil
+}
+
+// Config returns the configuration that this gateway applies. It is read only and never nil.
+func (g *Gateway) Config() *structs.Configuration { return g.config.current() }
+
--- /dev/null
+++ b/internal/gateway/lease.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"rosedrift.example/rosedrift/internal/ownership"
+	"rosedrift.example/rosedrift/internal/store"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// memberPrefix is the store prefix of the live gateways, each under its lease.
+const memberPrefix = "members/"
+
+// renewalTimeout bounds one renewal, so that a lost answer leaves time for the next one within
+// ownership.LeaseValid.
+const renewalTimeout = 900 * time.Millisecond
+
+// renewalPause is the pause after a failed renewal.
+const renewalPause = 100 * time.Millisecond
+
+// member is the value of a member key.
+type member struct {
+	Gateway structs.GatewayRef `json:"gateway"`
+	Zone    string             `json:"zone"`
+	// Links is the address (host:port) for agents and gateways, API that of the caller API.
+	Links string `json:"links"`
+	API   string `json:"api"`
+}
+
+// renewLease is the duty that keeps this gateway's lease and member key in the store.
+func (g *Gateway) renewLease(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sentAt := g.now()
+		err := g.renewOnce(ctx)
+		if err != nil {
+			g.renewalFailed(ctx, err)
+			sleep(ctx, renewalPause)
+			continue
+		}
+		g.lastRenewal.Store(int64(sentAt))
+		g.health.Ready("starting")
+		g.control.push(ctx, ownership.LeaseRenewed{SentAt: sentAt})
+		sleep(ctx, max(0, ownership.LeaseRenewal-(g.now()-sentAt)))
+	}
+	return nil
+}
+
+// renewOnce extends the lease or, without one, takes a new lease and registers the gateway under it. A lease counts
+// only with the member key, by which others see it.
+func (g *Gateway) renewOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, renewalTimeout)
+	defer cancel()
+	if lease := g.lease.Load(); lease != 0 {
+		return g.options.Store.KeepAlive(ctx, store.LeaseID(lease))
+	}
+	lease, err := g.options.Store.GrantLease(ctx, ownership.LeaseTTL)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(member{
+		Gateway: g.self, Zone: g.options.Zone, Links: g.options.Advertise, API: g.options.Listener.Addr().String(),
+	})
+	if err != nil {
+		return err
+	}
+	key := memberPrefix + string(g.self.ID)
+	if _, err := g.options.Store.Put(ctx, key, value, store.AnyVersion, lease); err != nil {
+		return err
+	}
+	g.lease.Store(uint64(lease))
+	return nil
+}
+
+func (g *Gateway) renewalFailed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if g.lease.Load() != 0 && store.IsKind(err, store.KindNotFound) {
+		g.lease.Store(0)
+		_ = level.Warn(g.logger).Log("msg", "the store lease has ended; another gateway may own the pools now")
+		g.control.push(ctx, ownership.LeaseExpired{})
+		return
+	}
+	_ = level.Warn(g.logger).Log("msg", "lease renewal failed", "err", err)
+}
+
+// storeReachable reports whether a renewal has succeeded recently.
+func (g *Gateway) storeReachable() bool {
+	last := time.Duration(g.lastRenewal.Load())
+	return last > 0 && g.now()-last < ownership.LeaseValid
+}
--- /dev/null
+++ b/internal/gateway/limits.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Limits of the caller API that are not in the configuration.
+const (
+	maxHeaderBytes    = 16 << 10
+	maxKeyBytes       = 128
+	maxTickets        = 1000
+	maxWait           = 5 * time.Minute
+	maxConnections    = 20_000
+	maxStreams        = 4096
+	readHeaderTimeout = 5 * time.Second
+	// bodyTimeout bounds the reading of one body.
+	bodyTimeout = 30 * time.Second
+	idleTimeout = 2 * time.Minute
+	// memoryRetryAfter is advised when the memory for bodies is used up.
+	memoryRetryAfter = time.Second
+	// routineShare is the part of the memory for bodies that routine jobs may use, in percent, so that a flood of
+	// routine bodies does not refuse urgent ones.
+	routineShare = 80
+)
+
+var errNoMemory = errors.New("gateway: the memory for bodies is used up")
+
+// memory counts the bytes of bodies held for callers.
+type memory struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// grant is what one submission holds of a memory.
+type grant struct {
+	memory *memory
+	held   int64
+}
+
+// add reserves n bytes more and fails if the limit is passed.
+func (g *grant) add(n int64) error {
+	if g.memory.used.Add(n) > g.memory.limit {
+		g.memory.used.Add(-n)
+		return errNoMemory
+	}
+	g.held += n
+	return nil
+}
+
+// checkClass refuses routine bodies beyond their share.
+func (g *grant) checkClass(p structs.Priority) error {
+	if p == structs.Routine && g.memory.used.Load() > g.memory.limit/100*routineShare {
+		return errNoMemory
+	}
+	return nil
+}
+
+func (g *grant) release() {
+	g.memory.used.Add(-g.held)
+	g.held = 0
+}
+
+// countedReader reserves what it reads, so that a body which arrives slowly holds only what has arrived.
+type countedReader struct {
+	r     io.Reader
+	grant *grant
+}
+
+// Read implements io.Reader.
+func (c *countedReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	if n > 0 {
+		if full := c.grant.add(int64(n)); full != nil {
+			return 0, full
+		}
+	}
+	return n, err
+}
+
+// limitedListener bounds the open connections; further ones wait in the kernel's backlog.
+type limitedListener struct {
+	net.Listener
+	slots chan struct{}
+	done  chan struct{}
+	once  sync.Once
+}
+
+func limitListener(l net.Listener, n int) *limitedListener {
+	return &limitedListener{Listener: l, slots: make(chan struct{}, n), done: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitedConn{Conn: conn, slots: l.slots}, nil
+}
+
+// Close implements net.Listener.
+func (l *limitedListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return l.Listener.Close()
+}
+
+type limitedConn struct {
+	net.Conn
+	slots chan struct{}
+	once  sync.Once
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { <-c.slots })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/gateway/links.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/go-kit/log/level"
+
+	"rosedrift.example/rosedrift/internal/dispatch"
+	"rosedrift.example/rosedrift/internal/link"
+	"rosedrift.example/rosedrift/internal/ownership"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// linkHandler receives the messages of one link. Its first message tells whether the other side is an agent or a
+// gateway.
+type linkHandler struct {
+	g *Gateway
+	// out is set on links that this gateway dialed.
+	out   *outbound
+	agent *agentConn
+	peer  structs.GatewayRef
+}
+
+// acceptLink serves the link listener: agents and gateways use the same path.
+func (g *Gateway) acceptLink(w http.ResponseWriter, r *http.Request) {
+	if g.options.CheckLink != nil && !g.options.CheckLink(r) {
+		http.Error(w, "the key of the link is wrong", http.StatusUnauthorized)
+		return
+	}
+	options := link.Options{Fault: g.options.LinkFault, Logger: g.logger}
+	l, err := link.Accept(w, r, options, &linkHandler{g: g})
+	if err != nil {
+		_ = level.Info(g.logger).Log("msg", "link not accepted", "err", err)
+		return
+	}
+	g.spawn(func() {
+		select {
+		case <-l.Done():
+		case <-g.ctx.Done():
+			l.Abort()
+			<-l.Done()
+		}
+	})
+}
+
+// Receive implements link.Handler.
+func (h *linkHandler) Receive(l *link.Link, envelopes []structs.Envelope) {
+	for _, e := range envelopes {
+		if err := h.receive(l, e); err != nil {
+			_ = level.Warn(h.g.logger).Log("msg", "malformed message", "peer", l.RemoteAddr(), "type", e.Type, "err", err)
+			l.Close("malformed message")
+			return
+		}
+	}
+}
+
+// Closed implements link.Handler.
+func (h *linkHandler) Closed(l *link.Link, err error) {
+	_ = level.Debug(h.g.logger).Log("msg", "link ended", "peer", l.RemoteAddr(), "err", err)
+	if h.agent != nil {
+		h.g.agents.closed(h.agent)
+	}
+	if h.out != nil {
+		h.out.end()
+	}
+	h.g.peers.closed(l)
+}
+
+func (h *linkHandler) receive(l *link.Link, e structs.Envelope) error {
+	switch e.Type {
+	case structs.TypeAgentHello:
+		return decoded(e, func(m *structs.AgentHello) { h.agent = h.g.agents.register(l, m) })
+	case structs.TypePeerHello:
+		return decoded(e, func(m *structs.PeerHello) {
+			h.peer = m.Gateway
+			h.g.peers.sawHello(l, m, h.out == nil)
+		})
+	case structs.TypeConfigDocument:
+		return decoded(e, func(m *structs.ConfigDocument) { h.g.config.offer(h.g.ctx, m.Document) })
+	case structs.TypeConfigRequest:
+		h.g.config.sync(l, 0)
+		return nil
+	}
+	if h.agent != nil {
+		return h.fromAgent(e)
+	}
+	if h.peer.ID != "" {
+		return h.fromPeer(l, e)
+	}
+	return nil
+}
+
+func decoded[T any](e structs.Envelope, handle func(*T)) error {
+	message := new(T)
+	if err := link.Decode(e, message); err != nil {
+		return err
+	}
+	handle(message)
+	return nil
+}
+
+func (h *linkHandler) fromAgent(e structs.Envelope) error {
+	switch e.Type {
+	case structs.TypeAgentHeartbeat:
+		return decoded(e, func(m *structs.AgentHeartbeat) { h.g.agents.heartbeat(h.agent, m) })
+	case structs.TypeTaskEvents:
+		return decoded(e, func(m *structs.TaskEvents) { h.taskEvents(m.Epoch, m.Events) })
+	case structs.TypeResults:
+		return decoded(e, func(m *structs.Results) { h.taskEvents(0, m.Events) })
+	case structs.TypeFenceReply:
+		return decoded(e, func(m *structs.FenceReply) {
+			h.g.control.push(h.g.ctx, ownership.FenceReplied{Agent: h.agent.ref, Reply: *m})
+		})
+	}
+	return nil
+}
+
+// taskEvents passes events to the pool's runner. Events of a later epoch belong to another owner.
+func (h *linkHandler) taskEvents(epoch structs.Epoch, events []structs.TaskEvent) {
+	r := h.g.control.runner(h.g.agents.poolOf(h.agent))
+	if r == nil || epoch > r.epoch {
+		return
+	}
+	r.deliver(dispatch.Events{Agent: h.agent.ref, Events: events})
+}
+
+func (h *linkHandler) fromPeer(l *link.Link, e structs.Envelope) error {
+	switch e.Type {
+	case structs.TypePeerHeartbeat:
+		return decoded(e, func(m *structs.PeerHeartbeat) { h.g.peers.sawHeartbeat(l, h.peer, m) })
+	case structs.TypeForward:
+		return decoded(e, func(m *structs.Forward) { h.forwarded(l, m) })
+	case structs.TypeForwardReply:
+		return decoded(e, func(m *structs.ForwardReply) {
+			if h.out != nil {
+				h.out.replied(m)
+			}
+		})
+	case structs.TypeHandoff:
+		return decoded(e, func(m *structs.Handoff) { h.handedOver(l, m) })
+	case structs.TypeHandoffReply:
+		return decoded(e, func(m *structs.HandoffReply) {
+			if h.out != nil {
+				h.out.handoffReplied(m)
+			}
+		})
+	}
+	return nil
+}
+
+// forwarded serves a request of another gateway.
+func (h *linkHandler) forwarded(l *link.Link, f *structs.Forward) {
+	reply := func(class link.Class, r *structs.ForwardReply) {
+		// After the end of the link the other side asks again.
+		_ = l.Send(class, structs.TypeForwardReply, r)
+	}
+	if f.Kind == structs.ForwardQuery {
+		h.g.spawn(func() { reply(link.Bulk, h.g.answerQuery(h.g.ctx, f)) })
+		return
+	}
+	h.g.serveForward(&request{Forward: *f, reply: reply})
+}
+
+func (h *linkHandler) handedOver(l *link.Link, m *structs.Handoff) {
+	accepted := !h.g.stopping.Load()
+	if accepted {
+		h.g.control.keepHandoff(m)
+	}
+	_ = l.Send(link.Control, structs.TypeHandoffReply, &structs.HandoffReply{ID: m.ID, Accepted: accepted})
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,457 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"rosedrift.example/rosedrift/internal/link"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Timing of peer links.
+const (
+	dialTimeout  = 2 * time.Second
+	redialPause  = 100 * time.Millisecond
+	redialMax    = time.Second
+	peerLinkPath = "/v1/link"
+	// replyMargin is how long a reply may be late before its request counts as cut. It covers the reply's way.
+	replyMargin = 3 * time.Second
+)
+
+// errCut means that a request was sent and that its reply is lost: it may or may not have been handled.
+var errCut = errors.New("gateway: the link to the owner ended before its reply")
+
+// errNoOwner means that no request was sent.
+var errNoOwner = errors.New("gateway: no owner is reachable")
+
+// peer is another gateway. Fields are guarded by peers.mu.
+type peer struct {
+	ref       structs.GatewayRef
+	zone      string
+	revision  structs.Revision
+	owned     []structs.OwnedPool
+	stopping  bool
+	heard     time.Duration
+	inForce   structs.Revision
+	out       *outbound
+	cancel    context.CancelFunc
+	address   string
+	unlisted  bool
+}
+
+// outbound is a dialed link with the requests that wait for replies.
+type outbound struct {
+	link *link.Link
+
+	mu       sync.Mutex
+	next     uint64
+	calls    map[uint64]chan *structs.ForwardReply
+	handoffs map[uint64]chan bool
+	closed   bool
+}
+
+// peers knows the other gateways and keeps a dialed link with each.
+type peers struct {
+	g       *Gateway
+	changed chan struct{}
+
+	mu      sync.Mutex
+	byID    map[structs.GatewayID]*peer
+	inbound map[*link.Link]structs.GatewayID
+	// list is the sorted list of link addresses of the members, version counts its changes.
+	list    []string
+	version uint64
+}
+
+func newPeers(g *Gateway) *peers {
+	return &peers{
+		g:       g,
+		changed: make(chan struct{}, 1),
+		byID:    map[structs.GatewayID]*peer{},
+		inbound: map[*link.Link]structs.GatewayID{},
+		list:    []string{g.options.Advertise},
+	}
+}
+
+// addresses returns the link addresses of all gateways and a number that changes with the list.
+func (p *peers) addresses() ([]string, uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list, p.version
+}
+
+// setMembers takes the live gateways of the store: it dials new ones and forgets those that have left.
+func (p *peers) setMembers(live map[string]member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := []string{p.g.options.Advertise}
+	seen := map[structs.GatewayID]bool{}
+	for _, m := range live {
+		if m.Gateway.ID == p.g.self.ID {
+			continue
+		}
+		seen[m.Gateway.ID] = true
+		list = append(list, m.Links)
+		p.addMember(m)
+	}
+	for id, known := range p.byID {
+		known.unlisted = !seen[id]
+	}
+	slices.Sort(list)
+	if !slices.Equal(list, p.list) {
+		p.list = list
+		p.version++
+		p.g.agents.wake()
+	}
+}
+
+// addMember starts the dialing of a member. The caller holds p.mu.
+func (p *peers) addMember(m member) {
+	known := p.byID[m.Gateway.ID]
+	if known != nil && known.address == m.Links && known.ref == m.Gateway {
+		return
+	}
+	if known == nil {
+		known = &peer{heard: p.g.now()}
+		p.byID[m.Gateway.ID] = known
+	}
+	if known.cancel != nil {
+		known.cancel()
+	}
+	known.ref, known.zone, known.address = m.Gateway, m.Zone, m.Links
+	known.heard = p.g.now()
+	known.stopping = false
+	ctx, cancel := context.WithCancel(p.g.ctx)
+	known.cancel = cancel
+	p.g.spawn(func() { p.dialLoop(ctx, known, m.Links) })
+}
+
+// dialLoop keeps a link with one peer until the context ends.
+func (p *peers) dialLoop(ctx context.Context, known *peer, address string) {
+	pause := redialPause
+	for ctx.Err() == nil {
+		out, err := p.dial(ctx, address)
+		if err != nil {
+			_ = level.Debug(p.g.logger).Log("msg", "peer not reached", "address", address, "err", err)
+			sleep(ctx, pause)
+			pause = min(2*pause, redialMax)
+			continue
+		}
+		pause = redialPause
+		p.setOutbound(known, out)
+		select {
+		case <-out.link.Done():
+		case <-ctx.Done():
+			out.link.Abort()
+			<-out.link.Done()
+		}
+		p.clearOutbound(known, out)
+		sleep(ctx, pause)
+	}
+}
+
+func (p *peers) dial(ctx context.Context, address string) (*outbound, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	scheme := "ws://"
+	if p.g.options.ClientTLS != nil {
+		scheme = "wss://"
+	}
+	out := &outbound{calls: map[uint64]chan *structs.ForwardReply{}, handoffs: map[uint64]chan bool{}}
+	l, err := link.Dial(ctx, scheme+address+peerLinkPath, p.linkOptions(), &linkHandler{g: p.g, out: out})
+	if err != nil {
+		return nil, err
+	}
+	out.link = l
+	_ = l.Send(link.Control, structs.TypePeerHello, p.hello())
+	_ = l.Send(link.Control, structs.TypePeerHeartbeat, p.heartbeat())
+	return out, nil
+}
+
+func (p *peers) linkOptions() link.Options {
+	return link.Options{
+		TLS: p.g.options.ClientTLS, Header: p.g.options.LinkHeader, Fault: p.g.options.LinkFault,
+		Logger: p.g.logger,
+	}
+}
+
+func (p *peers) hello() *structs.PeerHello {
+	return &structs.PeerHello{Gateway: p.g.self, Zone: p.g.options.Zone, Revision: p.g.config.revision()}
+}
+
+func (p *peers) heartbeat() *structs.PeerHeartbeat {
+	return &structs.PeerHeartbeat{
+		Revision: p.g.config.revision(), Owned: p.g.control.owned(), InForce: p.g.config.agentsInForce(),
+		Stopping: p.g.stopping.Load(),
+	}
+}
+
+func (p *peers) setOutbound(known *peer, out *outbound) {
+	p.mu.Lock()
+	known.out = out
+	p.mu.Unlock()
+	p.g.control.ownershipChanged()
+}
+
+func (p *peers) clearOutbound(known *peer, out *outbound) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known.out == out {
+		known.out = nil
+	}
+}
+
+// run is the duty of heartbeats to peers.
+func (p *peers) run(ctx context.Context) error {
+	ticker := time.NewTicker(structs.HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-p.changed:
+		}
+		beat := p.heartbeat()
+		for _, l := range p.links() {
+			_ = l.Send(link.Control, structs.TypePeerHeartbeat, beat)
+		}
+		p.forgetGone()
+	}
+}
+
+// wake sends heartbeats at once.
+func (p *peers) wake() {
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
+}
+
+// forgetGone removes gateways that are in no member list and silent.
+func (p *peers) forgetGone() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.g.now()
+	for id, known := range p.byID {
+		if !known.unlisted || now-known.heard <= structs.LostAfter {
+			continue
+		}
+		if known.cancel != nil {
+			known.cancel()
+		}
+		delete(p.byID, id)
+		p.g.config.gatewayLeft(id)
+	}
+}
+
+// links returns all links with peers.
+func (p *peers) links() []*link.Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := slices.Collect(maps.Keys(p.inbound))
+	for _, known := range p.byID {
+		if known.out != nil {
+			list = append(list, known.out.link)
+		}
+	}
+	return list
+}
+
+// broadcast sends the configuration to all peers.
+func (p *peers) broadcast() {
+	for _, l := range p.links() {
+		p.g.config.sync(l, 0)
+	}
+}
+
+// sawHello registers an accepted link.
+func (p *peers) sawHello(l *link.Link, h *structs.PeerHello, accepted bool) {
+	if accepted {
+		p.mu.Lock()
+		p.inbound[l] = h.Gateway.ID
+		p.mu.Unlock()
+		_ = l.Send(link.Control, structs.TypePeerHello, p.hello())
+	}
+	p.touch(h.Gateway, func(known *peer) { known.zone, known.revision = h.Zone, h.Revision })
+	p.g.config.sync(l, h.Revision)
+}
+
+func (p *peers) sawHeartbeat(l *link.Link, ref structs.GatewayRef, h *structs.PeerHeartbeat) {
+	p.touch(ref, func(known *peer) {
+		known.revision, known.owned, known.stopping, known.inForce = h.Revision, h.Owned, h.Stopping, h.InForce
+	})
+	p.g.config.sawGateway(ref, h.Revision, h.InForce)
+	if h.Revision != p.g.config.revision() {
+		p.g.config.sync(l, h.Revision)
+	}
+}
+
+// touch records a sign of life of a peer.
+func (p *peers) touch(ref structs.GatewayRef, change func(*peer)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.byID[ref.ID]
+	if known == nil {
+		known = &peer{ref: ref, unlisted: true}
+		p.byID[ref.ID] = known
+	}
+	if known.ref != ref {
+		return
+	}
+	known.heard = p.g.now()
+	change(known)
+}
+
+func (p *peers) closed(l *link.Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.inbound, l)
+}
+
+func (p *peers) closeAll() {
+	for _, l := range p.links() {
+		l.Abort()
+		<-l.Done()
+	}
+}
+
+// outboundTo returns the dialed link with an incarnation of a gateway.
+func (p *peers) outboundTo(ref structs.GatewayRef) *outbound {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.byID[ref.ID]
+	if known == nil || known.ref != ref {
+		return nil
+	}
+	return known.out
+}
+
+// alive returns the peers with a link, without stopping ones, ordered by the number of pools they own.
+func (p *peers) alive() []structs.GatewayRef {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var found []*peer
+	for _, known := range p.byID {
+		if known.out != nil && !known.stopping && !known.unlisted {
+			found = append(found, known)
+		}
+	}
+	slices.SortFunc(found, func(a, b *peer) int { return len(a.owned) - len(b.owned) })
+	refs := make([]structs.GatewayRef, len(found))
+	for i, known := range found {
+		refs[i] = known.ref
+	}
+	return refs
+}
+
+// call sends a request on the link and waits for the reply. errNoOwner means that nothing was sent.
+func (o *outbound) call(ctx context.Context, f structs.Forward) (*structs.ForwardReply, error) {
+	replies := make(chan *structs.ForwardReply, 1)
+	o.mu.Lock()
+	if o.closed {
+		o.mu.Unlock()
+		return nil, errNoOwner
+	}
+	o.next++
+	f.ID = o.next
+	o.calls[f.ID] = replies
+	o.mu.Unlock()
+	defer o.drop(f.ID)
+	class := link.Urgent
+	if f.Submission != nil {
+		class = classOf(f.Submission.Priority)
+	}
+	if err := o.link.Send(class, structs.TypeForward, &f); err != nil {
+		return nil, errNoOwner
+	}
+	return o.await(ctx, replies, min(f.Wait, maxForwardWait)+replyMargin)
+}
+
+func (o *outbound) await(
+	ctx context.Context, replies <-chan *structs.ForwardReply, limit time.Duration,
+) (*structs.ForwardReply, error) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case reply, ok := <-replies:
+		if !ok {
+			return nil, errCut
+		}
+		return reply, nil
+	case <-timer.C:
+		return nil, errCut
+	case <-ctx.Done():
+		return nil, errCut
+	}
+}
+
+func (o *outbound) drop(id uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.calls, id)
+}
+
+// replied passes a reply to its request. A reply without a request is late and dropped.
+func (o *outbound) replied(reply *structs.ForwardReply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if replies, ok := o.calls[reply.ID]; ok {
+		replies <- reply
+		delete(o.calls, reply.ID)
+	}
+}
+
+// handoff sends a snapshot and reports whether the successor has it.
+func (o *outbound) handoff(ctx context.Context, h *structs.Handoff) bool {
+	answer := make(chan bool, 1)
+	o.mu.Lock()
+	if o.closed {
+		o.mu.Unlock()
+		return false
+	}
+	o.next++
+	h.ID = o.next
+	o.handoffs[h.ID] = answer
+	o.mu.Unlock()
+	if err := o.link.Send(link.Bulk, structs.TypeHandoff, h); err != nil {
+		return false
+	}
+	select {
+	case accepted := <-answer:
+		return accepted
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (o *outbound) handoffReplied(r *structs.HandoffReply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if answer, ok := o.handoffs[r.ID]; ok {
+		answer <- r.Accepted
+		delete(o.handoffs, r.ID)
+	}
+}
+
+// end fails all waiting requests after the end of the link.
+func (o *outbound) end() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
+	for id, replies := range o.calls {
+		close(replies)
+		delete(o.calls, id)
+	}
+	for id, answer := range o.handoffs {
+		answer <- false
+		delete(o.handoffs, id)
+	}
+}
+
--- /dev/null
+++ b/internal/gateway/pool.go
@@ -0,0 +1,589 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"rosedrift.example/rosedrift/internal/dispatch"
+	"rosedrift.example/rosedrift/internal/link"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Bounds of a pool runner.
+const (
+	// commandQueue, eventQueue and requestQueue bound a runner's inputs.
+	commandQueue = 4096
+	eventQueue   = 4096
+	requestQueue = 1024
+	// eventBatch, urgentBatch and routineBatch bound what one round takes from each queue: urgent submissions wait
+	// for at most one round with few routine ones.
+	eventBatch   = 256
+	urgentBatch  = 256
+	routineBatch = 4
+	// busyTick and idleTick are the intervals of dispatch.Tick with and without jobs.
+	busyTick = 10 * time.Millisecond
+	idleTick = 500 * time.Millisecond
+	// expiryInterval is how often waiters are checked for the end of their wait.
+	expiryInterval = 50 * time.Millisecond
+	// statsInterval is how often the pool's counters go to the metrics.
+	statsInterval = time.Second
+	// cancelWait bounds the wait of a cancellation for the end of its job.
+	cancelWait = 5 * time.Second
+	// acceptWait bounds how long a submission waits for the end of a recovery before it is presented again.
+	acceptWait = 15 * time.Second
+	// maxForwardWait bounds how long one request is held at the owner.
+	maxForwardWait = time.Minute
+	// retention and retentionOnce are the retention periods of the pool (docs/design.md, section 4).
+	retention     = 10 * time.Minute
+	retentionOnce = 24 * time.Hour
+)
+
+// request is a Forward at the owner side. reply is called exactly once and does not wait. The class orders a reply
+// on a link.
+type request struct {
+	structs.Forward
+	reply func(link.Class, *structs.ForwardReply)
+}
+
+func (q *request) refuse(p *structs.Problem) {
+	q.reply(link.Urgent, &structs.ForwardReply{ID: q.ID, Problem: p})
+}
+
+// waiter is a request that the pool has not answered.
+type waiter struct {
+	request *request
+	until   time.Duration
+	class   link.Class
+}
+
+// eligibility passes ownership.EligibleChanged to a runner.
+type eligibility struct {
+	agent    structs.AgentRef
+	eligible bool
+}
+
+// agentChange passes a new or changed agent to a runner. down is true when its link has ended.
+type agentChange struct {
+	conn   *agentConn
+	update dispatch.AgentUpdate
+	down   bool
+}
+
+// call runs a function in the runner's goroutine, for queries and snapshots.
+type call func(r *runner)
+
+// poolAgent is what a runner knows of an agent.
+type poolAgent struct {
+	conn     *agentConn
+	update   dispatch.AgentUpdate
+	eligible bool
+	linked   bool
+}
+
+// runner runs the state machine of one owned pool in a goroutine of its own.
+type runner struct {
+	g     *Gateway
+	pool  structs.PoolID
+	epoch structs.Epoch
+
+	commands chan any
+	events   chan dispatch.Events
+	urgent   chan *request
+	routine  chan *request
+	// ending is closed by end, done when the goroutine has answered all requests.
+	ending  chan struct{}
+	endOnce sync.Once
+	done    chan struct{}
+
+	// The fields below belong to the goroutine.
+	machine  *dispatch.Pool
+	agents   map[structs.AgentRef]*poolAgent
+	waiters  map[dispatch.WaiterID]*waiter
+	byWait   dispatch.WaiterID
+	mode     dispatch.Mode
+	adopted  bool
+	frozen   bool
+	returned []dispatch.Events
+	expiry   time.Duration
+	statsAt  time.Duration
+	metrics  poolMetrics
+}
+
+func newRunner(g *Gateway, pool structs.PoolID, epoch structs.Epoch) *runner {
+	options := dispatch.Options{
+		Pool: pool, Epoch: epoch, Retention: retention, RetentionOnce: retentionOnce,
+		Policy: g.options.Policy, Seed: g.options.Seed,
+	}
+	return &runner{
+		g:        g,
+		pool:     pool,
+		epoch:    epoch,
+		commands: make(chan any, commandQueue),
+		events:   make(chan dispatch.Events, eventQueue),
+		urgent:   make(chan *request, requestQueue),
+		routine:  make(chan *request, requestQueue),
+		ending:   make(chan struct{}),
+		done:     make(chan struct{}),
+		machine:  dispatch.New(g.now(), options),
+		agents:   map[structs.AgentRef]*poolAgent{},
+		waiters:  map[dispatch.WaiterID]*waiter{},
+		metrics:  newPoolMetrics(g.scope, pool),
+	}
+}
+
+// seed configures the machine before run.
+func (r *runner) seed(config *structs.Configuration, agents []agentChange) {
+	r.do(r.machine.Step(r.g.now(), dispatch.Configure{Config: config}))
+	for _, change := range agents {
+		r.agentChanged(change)
+	}
+}
+
+// send queues a command: a dispatch.Input, eligibility, agentChange or call. It is lost if the runner has ended.
+func (r *runner) send(command any) {
+	select {
+	case r.commands <- command:
+	case <-r.done:
+	}
+}
+
+// deliver queues an agent's events. It waits when the queue is full, which slows the agent's link down.
+func (r *runner) deliver(events dispatch.Events) {
+	select {
+	case r.events <- events:
+	case <-r.done:
+	}
+}
+
+// offer queues a request, or refuses it at once if the queue is full or the runner has ended. Links read requests of
+// all priorities in one goroutine, which must not wait for the routine ones.
+func (r *runner) offer(q *request) {
+	queue := r.urgent
+	if q.Submission != nil && q.Submission.Priority == structs.Routine {
+		queue = r.routine
+	}
+	select {
+	case <-r.ending:
+		q.refuse(misdirected(structs.OutcomeNotRun, "the pool has another owner"))
+		return
+	default:
+	}
+	select {
+	case queue <- q:
+	default:
+		q.refuse(busy())
+		return
+	}
+	// The runner may have ended between the check and the send; then nobody else empties the queue.
+	select {
+	case <-r.done:
+		r.refuseQueued()
+	default:
+	}
+}
+
+// end stops the runner. Waiting requests are answered as misdirected.
+func (r *runner) end() { r.endOnce.Do(func() { close(r.ending) }) }
+
+func (r *runner) run(ctx context.Context) {
+	defer r.finish()
+	timer := time.NewTimer(idleTick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.ending:
+			return
+		case c := <-r.commands:
+			r.command(c)
+		case e := <-r.events:
+			r.step(e)
+		case q := <-r.urgent:
+			r.serve(q)
+		case q := <-r.routine:
+			r.serve(q)
+		case <-timer.C:
+			r.tick()
+			timer.Reset(r.nextTick())
+		}
+		if r.frozen && !r.thaw(ctx) {
+			return
+		}
+		r.drain()
+	}
+}
+
+// thaw holds a frozen runner, whose snapshot is under way to a successor, and reports whether it goes on.
+func (r *runner) thaw(ctx context.Context) bool {
+	for r.frozen {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-r.ending:
+			return false
+		case c := <-r.commands:
+			r.command(c)
+		}
+	}
+	return true
+}
+
+func (r *runner) nextTick() time.Duration {
+	if r.machine.Stats().Jobs > 0 || len(r.waiters) > 0 {
+		return busyTick
+	}
+	return idleTick
+}
+
+// drain takes what has arrived meanwhile: events and urgent submissions first, few routine submissions.
+func (r *runner) drain() {
+	drainQueue(r, r.commands, commandQueue, r.command)
+	drainQueue(r, r.events, eventBatch, func(e dispatch.Events) { r.step(e) })
+	drainQueue(r, r.urgent, urgentBatch, r.serve)
+	drainQueue(r, r.routine, routineBatch, r.serve)
+}
+
+func drainQueue[T any](r *runner, queue <-chan T, limit int, handle func(T)) {
+	for range limit {
+		if r.frozen {
+			return
+		}
+		select {
+		case item := <-queue:
+			handle(item)
+		default:
+			return
+		}
+	}
+}
+
+// finish answers all requests after the end. A request that the pool had seen may have run; the entry side presents
+// it to the next owner.
+func (r *runner) finish() {
+	r.end()
+	close(r.done)
+	for _, w := range r.waiters {
+		w.request.refuse(misdirected(structs.OutcomeMayHaveRun, "the gateway has lost the pool"))
+	}
+	r.refuseQueued()
+}
+
+func (r *runner) refuseQueued() {
+	for {
+		select {
+		case q := <-r.urgent:
+			q.refuse(misdirected(structs.OutcomeNotRun, "the gateway has lost the pool"))
+		case q := <-r.routine:
+			q.refuse(misdirected(structs.OutcomeNotRun, "the gateway has lost the pool"))
+		default:
+			return
+		}
+	}
+}
+
+func (r *runner) command(command any) {
+	switch c := command.(type) {
+	case agentChange:
+		r.agentChanged(c)
+	case eligibility:
+		r.eligibilityChanged(c)
+	case call:
+		c(r)
+	case dispatch.Adopt:
+		r.adopted = true
+		r.step(c)
+	case dispatch.Restore:
+		r.adopted = true
+		r.step(c)
+	case dispatch.AgentLost:
+		r.forget(c)
+	case dispatch.Input:
+		r.step(c)
+	}
+}
+
+// step passes an input to the machine after the mode of this moment, so that nothing starts after the right to
+// start has lapsed.
+func (r *runner) step(in dispatch.Input) {
+	r.refreshMode()
+	r.do(r.machine.Step(r.g.now(), in))
+	r.giveBack()
+}
+
+func (r *runner) refreshMode() {
+	if !r.adopted {
+		return
+	}
+	epoch, mode, owned := r.g.control.mode(r.pool)
+	if !owned || epoch != r.epoch {
+		mode = dispatch.Suspended
+	}
+	if mode == r.mode {
+		return
+	}
+	r.mode = mode
+	r.do(r.machine.Step(r.g.now(), dispatch.SetMode{Mode: mode}))
+}
+
+// giveBack reports starts that no link accepted as refused: they provably did not reach the agent.
+func (r *runner) giveBack() {
+	for len(r.returned) > 0 {
+		events := r.returned[0]
+		r.returned = r.returned[1:]
+		r.do(r.machine.Step(r.g.now(), events))
+	}
+	r.returned = r.returned[:0]
+}
+
+func (r *runner) tick() {
+	now := r.g.now()
+	r.step(dispatch.Tick{})
+	if now >= r.expiry {
+		r.expire(now)
+		r.expiry = now + expiryInterval
+	}
+	if now >= r.statsAt {
+		r.metrics.report(r.machine.Stats())
+		r.statsAt = now + statsInterval
+	}
+}
+
+// expire answers waiters whose time is over with the state of their job.
+func (r *runner) expire(now time.Duration) {
+	for id, w := range r.waiters {
+		if w.until > now {
+			continue
+		}
+		r.do(r.machine.Step(now, dispatch.DropWaiter{Waiter: id}))
+		delete(r.waiters, id)
+		r.replyStatus(w.request)
+	}
+}
+
+func (r *runner) replyStatus(q *request) {
+	status, ok := r.machine.Status(jobOf(q), r.g.now())
+	switch {
+	case ok:
+		q.reply(link.Urgent, &structs.ForwardReply{ID: q.ID, Status: &status})
+	case r.adopted:
+		q.refuse(unknownJob())
+	default:
+		q.refuse(misdirected(structs.OutcomeMayHaveRun, "the pool is being recovered"))
+	}
+}
+
+func jobOf(q *request) structs.JobID {
+	if q.Kind == structs.ForwardSubmit {
+		return q.Submission.Job
+	}
+	return q.Job
+}
+
+// unknownJob leaves open whether the job ran: the owner forgets jobs after the retention period.
+func unknownJob() *structs.Problem {
+	return &structs.Problem{
+		Code: structs.CodeNotFound, Outcome: structs.OutcomeMayHaveRun,
+		Detail: "no such job is known; jobs are forgotten 10 minutes after their end",
+	}
+}
+
+// serve starts the handling of one request.
+func (r *runner) serve(q *request) {
+	switch q.Kind {
+	case structs.ForwardSubmit:
+		id := r.addWaiter(q, q.Wait, classOf(q.Submission.Priority))
+		r.step(dispatch.Submit{Submission: q.Submission, Waiter: id})
+		r.holdWhileRecovering(id, q)
+	case structs.ForwardTickets:
+		r.serveTickets(q)
+	case structs.ForwardFetch, structs.ForwardStatus, structs.ForwardCancel:
+		r.serveKnown(q)
+	default:
+		q.refuse(refusal(structs.CodeBadRequest, fmt.Sprintf("unknown operation %d", q.Kind)))
+	}
+}
+
+// holdWhileRecovering keeps a submission that does not wait until the pool has accepted or refused it, which a
+// recovering pool does only after the takeover.
+func (r *runner) holdWhileRecovering(id dispatch.WaiterID, q *request) {
+	if w := r.waiters[id]; w != nil && q.Wait <= 0 {
+		w.until = r.g.now() + acceptWait
+	}
+}
+
+func classOf(p structs.Priority) link.Class {
+	if p == structs.Urgent {
+		return link.Urgent
+	}
+	return link.Bulk
+}
+
+func (r *runner) serveTickets(q *request) {
+	tickets, problem := r.machine.Tickets(q.Count)
+	if problem != nil {
+		q.refuse(problem)
+		return
+	}
+	q.reply(link.Urgent, &structs.ForwardReply{ID: q.ID, Tickets: tickets})
+}
+
+// serveKnown handles requests about a job by its id. Another team's job is answered like an unknown one.
+func (r *runner) serveKnown(q *request) {
+	r.refreshMode()
+	status, ok := r.machine.Status(q.Job, r.g.now())
+	if !ok && !r.adopted {
+		q.refuse(misdirected(structs.OutcomeNotRun, "the pool is being recovered"))
+		return
+	}
+	if !ok || (q.Team != "" && status.Team != "" && status.Team != q.Team) {
+		q.refuse(unknownJob())
+		return
+	}
+	pending := status.Outcome == structs.OutcomePending
+	if q.Kind == structs.ForwardStatus || (pending && q.Kind == structs.ForwardFetch && q.Wait <= 0) {
+		q.reply(link.Urgent, &structs.ForwardReply{ID: q.ID, Status: &status})
+		return
+	}
+	if q.Kind == structs.ForwardCancel {
+		r.step(dispatch.CancelJob{Job: q.Job, Waiter: r.addWaiter(q, cancelWait, link.Urgent)})
+		return
+	}
+	r.step(dispatch.Wait{Job: q.Job, Waiter: r.addWaiter(q, q.Wait, classOf(status.Priority))})
+}
+
+func (r *runner) addWaiter(q *request, wait time.Duration, class link.Class) dispatch.WaiterID {
+	r.byWait++
+	r.waiters[r.byWait] = &waiter{request: q, until: r.g.now() + min(wait, maxForwardWait), class: class}
+	return r.byWait
+}
+
+func (r *runner) takeWaiter(id dispatch.WaiterID) *waiter {
+	w := r.waiters[id]
+	delete(r.waiters, id)
+	return w
+}
+
+// do carries out the machine's orders.
+func (r *runner) do(actions []dispatch.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case dispatch.SendStart:
+			r.start(a)
+		case dispatch.SendWithdraw:
+			r.tell(a.Agent, link.Urgent, structs.TypeWithdraw, &a.Withdraw)
+		case dispatch.SendCancel:
+			r.tell(a.Agent, link.Urgent, structs.TypeCancel, &a.Cancel)
+		case dispatch.SendFetch:
+			r.tell(a.Agent, link.Urgent, structs.TypeFetchResults, &a.Fetch)
+		case dispatch.Journal:
+			r.g.journal.append(r, a.Entries)
+		case dispatch.Finish:
+			r.finished(a)
+		case dispatch.Accepted:
+			r.accepted(a)
+		case dispatch.Refuse:
+			if w := r.takeWaiter(a.Waiter); w != nil {
+				w.request.refuse(a.Problem)
+			}
+		}
+	}
+}
+
+func (r *runner) finished(a dispatch.Finish) {
+	for _, id := range a.Waiters {
+		if w := r.takeWaiter(id); w != nil {
+			w.request.reply(w.class, &structs.ForwardReply{ID: w.request.ID, Answer: a.Answer})
+		}
+	}
+}
+
+func (r *runner) accepted(a dispatch.Accepted) {
+	w := r.waiters[a.Waiter]
+	if w == nil || w.request.Wait > 0 {
+		return
+	}
+	r.do(r.machine.Step(r.g.now(), dispatch.DropWaiter{Waiter: a.Waiter}))
+	delete(r.waiters, a.Waiter)
+	w.request.reply(link.Urgent, &structs.ForwardReply{ID: w.request.ID, Status: &a.Status})
+}
+
+func (r *runner) start(a dispatch.SendStart) {
+	class := link.Bulk
+	if a.Urgent {
+		class = link.Urgent
+	}
+	if r.tell(a.Agent, class, structs.TypeStart, &a.Start) {
+		return
+	}
+	events := make([]structs.TaskEvent, len(a.Start.Tasks))
+	for i := range a.Start.Tasks {
+		events[i] = structs.TaskEvent{
+			Task: a.Start.Tasks[i].Task, Kind: structs.TaskRefused, Error: "the link to the agent is down",
+		}
+	}
+	r.returned = append(r.returned, dispatch.Events{Agent: a.Agent, Events: events})
+}
+
+// tell sends a message to an agent and reports whether the link accepted it. If not, the agent gets no starts until
+// its link is back.
+func (r *runner) tell(agent structs.AgentRef, class link.Class, typ structs.MessageType, message any) bool {
+	known := r.agents[agent]
+	if known == nil || !known.linked {
+		return false
+	}
+	err := known.conn.link.Send(class, typ, message)
+	if err == nil {
+		return true
+	}
+	_ = level.Warn(r.g.logger).Log("msg", "message to agent not sent", "agent", agent, "type", typ, "err", err)
+	known.linked = false
+	r.do(r.machine.Step(r.g.now(), known.current()))
+	return false
+}
+
+// current returns the agent's properties with the eligibility of this moment.
+func (a *poolAgent) current() dispatch.AgentUpdate {
+	update := a.update
+	update.Eligible = a.eligible && a.linked
+	return update
+}
+
+func (r *runner) agentChanged(c agentChange) {
+	known := r.agents[c.conn.ref]
+	if c.down {
+		if known == nil || known.conn != c.conn {
+			return
+		}
+		known.linked = false
+		r.step(known.current())
+		return
+	}
+	if known == nil {
+		known = &poolAgent{}
+		r.agents[c.conn.ref] = known
+	}
+	known.conn, known.update, known.linked = c.conn, c.update, true
+	r.step(known.current())
+}
+
+func (r *runner) eligibilityChanged(e eligibility) {
+	known := r.agents[e.agent]
+	if known == nil {
+		known = &poolAgent{update: dispatch.AgentUpdate{Agent: e.agent}}
+		r.agents[e.agent] = known
+	}
+	known.eligible = e.eligible
+	if known.conn != nil {
+		r.step(known.current())
+	}
+}
+
+func (r *runner) forget(lost dispatch.AgentLost) {
+	delete(r.agents, lost.Agent)
+	r.step(lost)
+}
--- /dev/null
+++ b/internal/gateway/problem.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// statusOf maps codes to HTTP statuses for problems that name none.
+var statusOf = map[structs.Code]int{
+	structs.CodeBadRequest:      http.StatusBadRequest,
+	structs.CodeUnauthorized:    http.StatusUnauthorized,
+	structs.CodeForbidden:       http.StatusForbidden,
+	structs.CodeNotFound:        http.StatusNotFound,
+	structs.CodeUnknownService:  http.StatusNotFound,
+	structs.CodeTooLarge:        http.StatusRequestEntityTooLarge,
+	structs.CodeKeyRequired:     http.StatusBadRequest,
+	structs.CodeKeyReused:       http.StatusUnprocessableEntity,
+	structs.CodeTicketExpired:   http.StatusGone,
+	structs.CodeInDoubt:         http.StatusConflict,
+	structs.CodeQuotaExceeded:   http.StatusTooManyRequests,
+	structs.CodeTooManyRequests: http.StatusTooManyRequests,
+	structs.CodeConflict:        http.StatusConflict,
+	structs.CodeCancelled:       http.StatusConflict,
+	structs.CodeTaskFailed:      http.StatusBadGateway,
+	structs.CodeServerLost:      http.StatusBadGateway,
+	structs.CodeOwnerLost:       http.StatusBadGateway,
+	structs.CodeDeadline:        http.StatusGatewayTimeout,
+	structs.CodeInternal:        http.StatusInternalServerError,
+}
+
+// refusal returns a problem with outcome not_run.
+func refusal(code structs.Code, detail string) *structs.Problem {
+	return &structs.Problem{Code: code, Outcome: structs.OutcomeNotRun, Detail: detail}
+}
+
+// problemBody is the JSON form of a problem (RFC 9457) with the members code, outcome and job.
+type problemBody struct {
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail"`
+	Code    string `json:"code"`
+	Outcome string `json:"outcome"`
+	Job     string `json:"job,omitempty"`
+}
+
+func httpStatus(p *structs.Problem) int {
+	if p.Status >= http.StatusBadRequest && p.Status != http.StatusMisdirectedRequest {
+		return p.Status
+	}
+	if status, ok := statusOf[p.Code]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+// writeProblem writes a problem. job may be nil.
+func writeProblem(w http.ResponseWriter, p *structs.Problem, job *structs.JobID) {
+	status := httpStatus(p)
+	body := problemBody{
+		Title: http.StatusText(status), Status: status, Detail: p.Detail, Code: string(p.Code),
+		Outcome: p.Outcome.String(),
+	}
+	if job != nil {
+		body.Job = job.String()
+	}
+	if p.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// misdirected is the owner side's refusal of a request for a pool that it does not own or owns no longer. The entry
+// side looks for the owner again; the status marks the problem as one of this layer. The outcome is not_run if the
+// request was not looked at, and may_have_run if the pool had it.
+func misdirected(outcome structs.Outcome, detail string) *structs.Problem {
+	return &structs.Problem{
+		Code: structs.CodeOwnerLost, Outcome: outcome, Status: http.StatusMisdirectedRequest, Detail: detail,
+	}
+}
+
+// busy refuses a request that was not looked at because the pool's queue of requests is full.
+func busy() *structs.Problem {
+	p := misdirected(structs.OutcomeNotRun, "the pool's queue of requests is full")
+	p.RetryAfter = busyPause
+	return p
+}
+
+func isMisdirected(p *structs.Problem) bool {
+	return p != nil && p.Status == http.StatusMisdirectedRequest
+}
+
+// busyPause is the pause before a request is offered again to a pool whose queue of requests is full.
+const busyPause = 20 * time.Millisecond
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"rosedrift.example/rosedrift/internal/ownership"
+	"rosedrift.example/rosedrift/internal/store"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Timing of a planned stop.
+const (
+	// readinessPause lets the load balancer see that the gateway is not ready before pools move.
+	readinessPause = 200 * time.Millisecond
+	// handoffTimeout bounds the transfer of one pool's snapshot and the following change of the record.
+	handoffTimeout = 5 * time.Second
+	// stopPoll is the interval of checks during a stop.
+	stopPoll = 20 * time.Millisecond
+	// lingerPause lets the last responses leave before connections close.
+	lingerPause = 200 * time.Millisecond
+)
+
+// awaitStop is the duty of the planned stop.
+func (g *Gateway) awaitStop(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-g.stop:
+	}
+	_ = level.Info(g.logger).Log("msg", "planned stop begins")
+	g.health.NotReady("stopping", "a planned stop is under way")
+	g.stopping.Store(true)
+	g.peers.wake()
+	sleep(ctx, readinessPause)
+	until := time.Now().Add(g.options.DrainTimeout)
+	for _, r := range g.control.all() {
+		g.handOver(ctx, r, until)
+	}
+	g.drainCallers(ctx, until)
+	g.leaveStore(ctx)
+	_ = level.Info(g.logger).Log("msg", "planned stop is complete")
+	return errStopped
+}
+
+// handOver passes a pool to another gateway. Without one, the pool's jobs finish here.
+func (g *Gateway) handOver(ctx context.Context, r *runner, until time.Time) {
+	for ctx.Err() == nil && time.Now().Before(until) {
+		for _, successor := range g.peers.alive() {
+			if g.handOverTo(ctx, r, successor) {
+				return
+			}
+		}
+		if r.idle(ctx) {
+			return
+		}
+		sleep(ctx, stopPoll)
+	}
+}
+
+// handOverTo freezes the pool, sends its snapshot and changes the record. It reports whether the pool has gone.
+func (g *Gateway) handOverTo(ctx context.Context, r *runner, successor structs.GatewayRef) bool {
+	ctx, cancel := context.WithTimeout(ctx, handoffTimeout)
+	defer cancel()
+	out := g.peers.outboundTo(successor)
+	if out == nil {
+		return false
+	}
+	jobs, ok := r.freeze(ctx)
+	if !ok {
+		return isClosed(r.done)
+	}
+	handoff := &structs.Handoff{Pool: r.pool, Epoch: r.epoch, Jobs: jobs}
+	if !out.handoff(ctx, handoff) {
+		r.send(call(func(r *runner) { r.frozen = false }))
+		return false
+	}
+	g.control.push(ctx, ownership.Release{Pool: r.pool, Successor: successor})
+	select {
+	case <-r.done:
+		_ = level.Info(g.logger).Log("msg", "pool handed over", "pool", r.pool, "to", successor, "jobs", len(jobs))
+		return true
+	case <-ctx.Done():
+		r.send(call(func(r *runner) { r.frozen = false }))
+		return false
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// freeze stops the runner from handling anything and returns a snapshot of its pool.
+func (r *runner) freeze(ctx context.Context) ([]structs.HandoffJob, bool) {
+	snapshot := make(chan []structs.HandoffJob, 1)
+	r.send(call(func(r *runner) {
+		if !r.adopted {
+			close(snapshot)
+			return
+		}
+		r.frozen = true
+		snapshot <- r.machine.Snapshot(r.g.now())
+	}))
+	select {
+	case jobs, ok := <-snapshot:
+		return jobs, ok
+	case <-r.done:
+	case <-ctx.Done():
+	}
+	return nil, false
+}
+
+// idle reports whether the pool has no job that has not ended.
+func (r *runner) idle(ctx context.Context) bool {
+	result := make(chan bool, 1)
+	r.send(call(func(r *runner) {
+		stats := r.machine.Stats()
+		result <- stats.Running+stats.QueuedUrgent+stats.QueuedRoutine == 0
+	}))
+	select {
+	case idle := <-result:
+		return idle
+	case <-r.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// drainCallers waits until no submission is in custody.
+func (g *Gateway) drainCallers(ctx context.Context, until time.Time) {
+	for ctx.Err() == nil {
+		left := time.Until(until)
+		count, empty := g.custody.idle()
+		if count == 0 {
+			break
+		}
+		if left <= 0 {
+			_ = level.Warn(g.logger).Log("msg", "planned stop does not wait longer", "submissions", count)
+			break
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-empty:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	sleep(ctx, lingerPause)
+}
+
+// leaveStore ends the lease, so that nobody waits for it to lapse.
+func (g *Gateway) leaveStore(ctx context.Context) {
+	lease := g.lease.Load()
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, putTimeout)
+	defer cancel()
+	if err := g.options.Store.Revoke(ctx, store.LeaseID(lease)); err != nil {
+		_ = level.Info(g.logger).Log("msg", "store lease not revoked", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/tickets.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Bounds of the tickets held for submissions without a key.
+const (
+	ticketBatch = 256
+	// ticketLifetime is how long a fetched ticket is used. The pool refuses tickets older than the retention period.
+	ticketLifetime = time.Minute
+)
+
+// ticketCache holds tickets of each pool for submissions without a key, so that these cost no request each.
+type ticketCache struct {
+	g *Gateway
+
+	mu      sync.Mutex
+	byPool  map[structs.PoolID]*ticketStock
+	fetches map[structs.PoolID]*sync.Mutex
+}
+
+type ticketStock struct {
+	epoch   structs.Epoch
+	at      time.Duration
+	tickets []string
+}
+
+func newTicketCache(g *Gateway) *ticketCache {
+	return &ticketCache{g: g, byPool: map[structs.PoolID]*ticketStock{}, fetches: map[structs.PoolID]*sync.Mutex{}}
+}
+
+// take returns a ticket of any pool of the service.
+func (c *ticketCache) take(ctx context.Context, service string, pools uint16) (string, *structs.Problem) {
+	pool := anyPool(service, pools)
+	if ticket, ok := c.held(pool); ok {
+		return ticket, nil
+	}
+	fetch := c.fetchLock(pool)
+	fetch.Lock()
+	defer fetch.Unlock()
+	if ticket, ok := c.held(pool); ok {
+		return ticket, nil
+	}
+	tickets, problem := c.g.fetchTickets(ctx, pool, ticketBatch)
+	if problem != nil {
+		return "", problem
+	}
+	c.store(pool, tickets[1:])
+	return tickets[0], nil
+}
+
+func (c *ticketCache) fetchLock(pool structs.PoolID) *sync.Mutex {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fetches[pool] == nil {
+		c.fetches[pool] = &sync.Mutex{}
+	}
+	return c.fetches[pool]
+}
+
+// held takes a ticket of the pool's present epoch.
+func (c *ticketCache) held(pool structs.PoolID) (string, bool) {
+	_, epoch, _ := c.g.control.owner(pool)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	stock := c.byPool[pool]
+	if stock == nil || stock.epoch != epoch || c.g.now()-stock.at > ticketLifetime || len(stock.tickets) == 0 {
+		return "", false
+	}
+	last := len(stock.tickets) - 1
+	ticket := stock.tickets[last]
+	stock.tickets = stock.tickets[:last]
+	return ticket, true
+}
+
+func (c *ticketCache) store(pool structs.PoolID, tickets []string) {
+	if len(tickets) == 0 {
+		return
+	}
+	parsed, _ := structs.ParseTicket(tickets[0])
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.byPool[pool] = &ticketStock{epoch: parsed.Epoch, at: c.g.now(), tickets: tickets}
+}
+
+// anyPool spreads tickets evenly over the pools of a service.
+func anyPool(service string, pools uint16) structs.PoolID {
+	return structs.PoolID{Service: service, Index: uint16(rand.IntN(int(max(pools, 1))))}
+}
+
+// fetchTickets asks the owner of a pool for tickets. Problems have outcome not_run, since a ticket starts nothing.
+func (g *Gateway) fetchTickets(ctx context.Context, pool structs.PoolID, count int) ([]string, *structs.Problem) {
+	reply, problem := g.ask(ctx, structs.Forward{Kind: structs.ForwardTickets, Pool: pool, Count: count})
+	if problem != nil {
+		p := *problem
+		p.Outcome = structs.OutcomeNotRun
+		return nil, &p
+	}
+	if len(reply.Tickets) == 0 {
+		return nil, refusal(structs.CodeInternal, "the owner of the pool issued no ticket")
+	}
+	return reply.Tickets, nil
+}
--- /dev/null
+++ b/internal/gateway/watch.go
@@ -0,0 +1,203 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"rosedrift.example/rosedrift/internal/configuration"
+	"rosedrift.example/rosedrift/internal/ownership"
+	"rosedrift.example/rosedrift/internal/store"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Timing of watches.
+const (
+	// watchWait is how long one watch call waits in the store.
+	watchWait = 10 * time.Second
+	// membersWait is shorter: a takeover needs a view of the members that is not older than the pool's record.
+	membersWait = time.Second
+	// watchPause follows a failed call and bounds the load on a store that is down.
+	watchPause = 250 * time.Millisecond
+	// listTimeout bounds one listing.
+	listTimeout = 2 * time.Second
+	listLimit   = 1000
+)
+
+// recordPrefix is the store prefix of the pool records.
+const recordPrefix = "pools/"
+
+// watched is one followed prefix. reset gets the whole content at the beginning and after lost events, apply the
+// events of each call, which may be none. Both get the store's revision.
+type watched struct {
+	prefix string
+	wait   time.Duration
+	reset  func([]store.Entry, uint64)
+	apply  func([]store.Event, uint64)
+}
+
+// follow lists a prefix and then passes on its events until the context ends.
+func (g *Gateway) follow(ctx context.Context, w watched) error {
+	for ctx.Err() == nil {
+		entries, revision, err := g.listAll(ctx, w.prefix)
+		if err != nil {
+			g.logWatch(ctx, w.prefix, err)
+			sleep(ctx, watchPause)
+			continue
+		}
+		w.reset(entries, revision)
+		g.watchFrom(ctx, w, revision)
+	}
+	return nil
+}
+
+// listAll returns all entries with the prefix. The revision is that of the first page, so that changes between the
+// pages are seen again as events.
+func (g *Gateway) listAll(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
+	var all []store.Entry
+	var first uint64
+	after := ""
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		page, revision, err := g.options.Store.List(callCtx, prefix, after, listLimit)
+		cancel()
+		if err != nil {
+			return nil, 0, err
+		}
+		if after == "" {
+			first = revision
+		}
+		all = append(all, page...)
+		if len(page) < listLimit {
+			return all, first, nil
+		}
+		after = page[len(page)-1].Key
+	}
+}
+
+// watchFrom returns when events were lost or the context has ended.
+func (g *Gateway) watchFrom(ctx context.Context, w watched, revision uint64) {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, w.wait+listTimeout)
+		events, next, err := g.options.Store.Watch(callCtx, w.prefix, revision, w.wait)
+		cancel()
+		switch {
+		case store.IsKind(err, store.KindCompacted):
+			return
+		case err != nil:
+			g.logWatch(ctx, w.prefix, err)
+			sleep(ctx, watchPause)
+		default:
+			revision = max(revision, next)
+			w.apply(events, revision)
+		}
+	}
+}
+
+func (g *Gateway) logWatch(ctx context.Context, prefix string, err error) {
+	if ctx.Err() == nil {
+		_ = level.Debug(g.logger).Log("msg", "watch failed", "prefix", prefix, "err", err)
+	}
+}
+
+// watchMembers is the duty that follows the live gateways.
+func (g *Gateway) watchMembers(ctx context.Context) error {
+	live := map[string]member{}
+	publish := func(revision uint64) {
+		g.peers.setMembers(live)
+		refs := make([]structs.GatewayRef, 0, len(live))
+		for _, m := range live {
+			refs = append(refs, m.Gateway)
+		}
+		g.control.push(ctx, ownership.Members{Live: refs, Revision: revision})
+	}
+	put := func(e store.Entry) {
+		var m member
+		if err := json.Unmarshal(e.Value, &m); err != nil {
+			_ = level.Error(g.logger).Log("msg", "member record is malformed", "key", e.Key, "err", err)
+			return
+		}
+		live[e.Key] = m
+	}
+	reset := func(entries []store.Entry, revision uint64) {
+		clear(live)
+		for _, e := range entries {
+			put(e)
+		}
+		publish(revision)
+	}
+	apply := func(events []store.Event, revision uint64) {
+		for _, e := range events {
+			if e.Deleted {
+				delete(live, e.Key)
+				continue
+			}
+			put(e.Entry)
+		}
+		publish(revision)
+	}
+	return g.follow(ctx, watched{memberPrefix, membersWait, reset, apply})
+}
+
+// watchRecords is the duty that follows the pool records.
+func (g *Gateway) watchRecords(ctx context.Context) error {
+	observe := func(e store.Entry) {
+		if record, ok := g.parseRecord(e); ok {
+			g.control.push(ctx, ownership.ObservedRecord{
+				Record: record, Version: e.Version, Revision: e.Revision,
+			})
+		}
+	}
+	reset := func(entries []store.Entry, _ uint64) {
+		for _, e := range entries {
+			observe(e)
+		}
+	}
+	apply := func(events []store.Event, _ uint64) {
+		for _, e := range events {
+			if !e.Deleted {
+				observe(e.Entry)
+			}
+		}
+	}
+	return g.follow(ctx, watched{recordPrefix, watchWait, reset, apply})
+}
+
+func (g *Gateway) parseRecord(e store.Entry) (ownership.Record, bool) {
+	var record ownership.Record
+	if err := json.Unmarshal(e.Value, &record); err != nil {
+		_ = level.Error(g.logger).Log("msg", "pool record is malformed", "key", e.Key, "err", err)
+		return record, false
+	}
+	return record, true
+}
+
+// watchConfig is the duty that follows the configuration document.
+func (g *Gateway) watchConfig(ctx context.Context) error {
+	offer := func(e store.Entry) {
+		if e.Key == configuration.Key {
+			g.config.offer(ctx, e.Value)
+		}
+	}
+	reset := func(entries []store.Entry, _ uint64) {
+		for _, e := range entries {
+			offer(e)
+		}
+	}
+	apply := func(events []store.Event, _ uint64) {
+		for _, e := range events {
+			if !e.Deleted {
+				offer(e.Entry)
+			}
+		}
+	}
+	return g.follow(ctx, watched{configuration.Key, watchWait, reset, apply})
+}
+
+// recordKey returns the store key of a pool's record.
+func recordKey(pool structs.PoolID) string {
+	return recordPrefix + strings.Replace(pool.String(), ".", "/", 1)
+}
