--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -168,7 +168,7 @@
 	_ = level.Info(c.g.logger).Log("msg", "pool recovered", "pool", a.Pool, "epoch", a.Epoch,
 		"complete", a.Adopt.Complete, "doubt", a.Adopt.Doubt, "snapshot", ok)
 	if ok && received.handoff.Epoch+1 == a.Epoch {
-		r.send(dispatch.Restore{Jobs: received.handoff.Jobs})
+		r.send(dispatch.Restore{Jobs: received.handoff.Jobs, Collection: a.Adopt})
 	} else {
 		r.send(a.Adopt)
 	}
@@ -177,9 +177,13 @@
 
 func (c *control) modeChanged(a ownership.ModeChanged) {
 	_ = level.Info(c.g.logger).Log("msg", "pool mode changed", "pool", a.Pool, "epoch", a.Epoch, "mode", a.Mode)
-	if r := c.runner(a.Pool); r != nil && r.epoch == a.Epoch {
+	r := c.runner(a.Pool)
+	if r != nil && r.epoch == a.Epoch {
 		r.send(dispatch.Tick{})
 	}
+	if r != nil && a.Mode == dispatch.Attached {
+		c.g.journal.attached(r)
+	}
 	c.g.agents.wake()
 	c.ownershipChanged()
 }
--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,81 @@
+package gateway_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosedrift.example/rosedrift/internal/configuration"
+	"rosedrift.example/rosedrift/internal/gateway"
+	"rosedrift.example/rosedrift/internal/standin"
+	"rosedrift.example/rosedrift/internal/store"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// system is a small rosedrift in this process: a store stand-in and gateways.
+type system struct {
+	t     *testing.T
+	store *standin.Store
+	http  *http.Client
+}
+
+// node is one running gateway.
+type node struct {
+	*gateway.Gateway
+	url    string
+	link   string
+	kill   context.CancelFunc
+	result chan error
+}
+
+func newSystem(t *testing.T) *system {
+	s := &system{t: t, store: standin.NewStore(1), http: &http.Client{Transport: &http.Transport{}}}
+	t.Cleanup(s.store.Close)
+	t.Cleanup(s.http.CloseIdleConnections)
+	document := configuration.Default()
+	document.Revision = 1
+	document.Change = structs.Change{ID: "test", Operator: "test", Command: "test", Time: time.Unix(0, 0)}
+	document.Services = map[string]structs.ServiceConfig{"lending": structs.DefaultServiceConfig()}
+	raw, err := configuration.Encode(document)
+	require.NoError(t, err)
+	_, err = s.store.Put(t.Context(), configuration.Key, raw, store.AnyVersion, 0)
+	require.NoError(t, err)
+	return s
+}
+
+func (s *system) gateway(name string) *node {
+	api, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	links, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	g, err := gateway.New(gateway.Options{
+		Name: structs.GatewayID(name), Zone: "catania", Store: s.store, Listener: api, LinkListener: links,
+		DrainTimeout: 20 * time.Second,
+	})
+	require.NoError(s.t, err)
+	ctx, kill := context.WithCancel(context.Background())
+	n := &node{
+		Gateway: g, url: "http://" + api.Addr().String(), link: links.Addr().String(), kill: kill,
+		result: make(chan error, 1),
+	}
+	go func() { n.result <- g.Run(ctx) }()
+	s.t.Cleanup(n.end)
+	return n
+}
+
+// end kills the gateway and waits for its goroutines.
+func (n *node) end() {
+	n.kill()
+	<-n.result
+	n.result <- nil
+}
+
+// awaitConfig waits until the gateway applies the configuration.
+func (n *node) awaitConfig(t *testing.T) {
+	require.Eventually(t, func() bool { return n.Config().Revision > 0 }, time.Minute, time.Millisecond)
+}
+
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -19,7 +19,6 @@
 	dialTimeout  = 2 * time.Second
 	redialPause  = 100 * time.Millisecond
 	redialMax    = time.Second
-	peerLinkPath = "/v1/link"
 	// replyMargin is how long a reply may be late before its request counts as cut. It covers the reply's way.
 	replyMargin = 3 * time.Second
 )
@@ -164,7 +163,7 @@
 		scheme = "wss://"
 	}
 	out := &outbound{calls: map[uint64]chan *structs.ForwardReply{}, handoffs: map[uint64]chan bool{}}
-	l, err := link.Dial(ctx, scheme+address+peerLinkPath, p.linkOptions(), &linkHandler{g: p.g, out: out})
+	l, err := link.Dial(ctx, scheme+address+link.PathPeer, p.linkOptions(), &linkHandler{g: p.g, out: out})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -567,8 +567,12 @@
 		known = &poolAgent{}
 		r.agents[c.conn.ref] = known
 	}
-	known.conn, known.update, known.linked = c.conn, c.update, true
-	r.step(known.current())
+	update := c.update
+	relinked := known.conn != nil && known.conn.link != c.conn.link
+	known.conn, known.update, known.linked = c.conn, update, true
+	update = known.current()
+	update.Relinked = relinked
+	r.step(update)
 }
 
 func (r *runner) eligibilityChanged(e eligibility) {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"rosedrift.example/rosedrift/internal/dispatch"
 	"rosedrift.example/rosedrift/internal/ownership"
 	"rosedrift.example/rosedrift/internal/store"
 	"rosedrift.example/rosedrift/internal/structs"
@@ -105,7 +106,8 @@
 			close(snapshot)
 			return
 		}
-		r.frozen = true
+		// The snapshot suspends the pool until the next SetMode.
+		r.frozen, r.mode = true, dispatch.Suspended
 		snapshot <- r.machine.Snapshot(r.g.now())
 	}))
 	select {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -12,7 +12,7 @@
 	Listen       string   `arg:"--listen,env:ROSEDRIFT_LISTEN" default:"127.0.0.1:7400" check:"hostport" help:"address of the caller and admin API"`
 	LinkListen   string   `arg:"--link-listen,env:ROSEDRIFT_LINK_LISTEN" default:"127.0.0.1:7401" check:"hostport" help:"address for agents and other gateways"`
 	Advertise    string   `arg:"--advertise,env:ROSEDRIFT_ADVERTISE" check:"hostport" help:"address under which agents and other gateways reach link-listen; default: the listening address"`
-	Store        []string `arg:"--store,env:ROSEDRIFT_STORE" required:"yes" check:"url" help:"URLs of the platform's store"`
+	Store        string   `arg:"--store,env:ROSEDRIFT_STORE" required:"yes" check:"url" help:"URL of the platform's store"`
 	TLSCert      string   `arg:"--tls-cert,env:ROSEDRIFT_TLS_CERT" check:"file" help:"certificate chain (PEM) of this process"`
 	TLSKey       string   `arg:"--tls-key,env:ROSEDRIFT_TLS_KEY" check:"file" help:"private key (PEM) of this process"`
 	TLSCA        string   `arg:"--tls-ca,env:ROSEDRIFT_TLS_CA" check:"file" help:"certificates (PEM) that sign agents' and gateways' certificates"`
