--- a/internal/gateway/api.go
+++ b/internal/gateway/api.go
@@ -16,6 +16,9 @@
 // cancelAsk bounds the wait for the confirmation of a cancellation.
 const cancelAsk = 5 * time.Second
 
+// longestResponse bounds a response from the arrival of its request, unless its handler knows better.
+const longestResponse = maxWait + time.Minute
+
 // handler returns the mux of the caller API, the admin API and the process's health.
 func (g *Gateway) handler() http.Handler {
 	mux := http.NewServeMux()
@@ -37,7 +40,11 @@
 		mux.Handle("/v1/admin/", administration)
 		mux.Handle("/", administration)
 	}
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// A kept connection still has the write deadline of its previous response.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(longestResponse))
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // teamHandler serves a request of an authenticated team. A returned problem is written as the response.
@@ -111,6 +118,9 @@
 	if problem != nil {
 		return problem
 	}
+	if g.stopping.Load() && len(g.peers.alive()) == 0 {
+		return stoppingAlone(r)
+	}
 	k := &custodyOf{grant: &grant{memory: &g.held}, waits: wait > 0}
 	if problem := g.readSubmission(w, r, team, k); problem != nil {
 		k.grant.release()
@@ -124,6 +134,17 @@
 	return nil
 }
 
+// stoppingAlone refuses new work during the planned stop of the last gateway. An earlier request may have used the
+// caller's key.
+func stoppingAlone(r *http.Request) *structs.Problem {
+	p := refusal(structs.CodeStopping, "the gateway is stopping and no other one is reachable from it")
+	p.RetryAfter = time.Second
+	if r.Header.Get(keyHeader) != "" {
+		p.Outcome = structs.OutcomeMayHaveRun
+	}
+	return p
+}
+
 // readSubmission reads the body and fills the custody.
 func (g *Gateway) readSubmission(w http.ResponseWriter, r *http.Request, team string, k *custodyOf) *structs.Problem {
 	body, problem := g.readBody(w, r, k.grant)
--- a/internal/gateway/decode.go
+++ b/internal/gateway/decode.go
@@ -7,14 +7,19 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
-// arenaBytes is the size of the blocks that payloads of one job share, so that a task needs no allocation of its own.
-const arenaBytes = 64 << 10
+// Payloads of one job share blocks, so that a task needs no allocation of its own. Blocks grow from firstBlock to
+// largestBlock bytes, so that a small job holds little.
+const (
+	firstBlock   = 512
+	largestBlock = 64 << 10
+)
 
 // maxKindLength bounds the kind of a job in bytes: every kind costs estimator state at the owner.
 const maxKindLength = 128
@@ -40,13 +45,13 @@
 	json     *json.Decoder
 	maxTasks int
 	body     jobBody
-	seen     map[string]bool
+	seen     []string
 	arena    []byte
 }
 
 // decodeJob reads a submission. The error is for problemOfBody.
 func decodeJob(r io.Reader, maxTasks int) (*jobBody, error) {
-	d := &bodyDecoder{json: json.NewDecoder(r), maxTasks: maxTasks, seen: map[string]bool{}}
+	d := &bodyDecoder{json: json.NewDecoder(r), maxTasks: maxTasks}
 	d.json.DisallowUnknownFields()
 	d.body.repeatable = true
 	if err := d.object(); err != nil {
@@ -83,10 +88,10 @@
 			return err
 		}
 		name, _ := token.(string)
-		if d.seen[name] {
+		if slices.Contains(d.seen, name) {
 			return &fieldError{name, "appears twice"}
 		}
-		d.seen[name] = true
+		d.seen = append(d.seen, name)
 		if err := d.field(name); err != nil {
 			return err
 		}
@@ -174,7 +179,8 @@
 // keep copies a payload into the arena.
 func (d *bodyDecoder) keep(payload []byte) []byte {
 	if cap(d.arena)-len(d.arena) < len(payload) {
-		d.arena = make([]byte, 0, max(arenaBytes, len(payload)))
+		size := min(max(firstBlock, 2*cap(d.arena)), largestBlock)
+		d.arena = make([]byte, 0, max(size, len(payload)))
 	}
 	start := len(d.arena)
 	d.arena = append(d.arena, payload...)
--- /dev/null
+++ b/internal/gateway/fakeagent_test.go
@@ -0,0 +1,85 @@
+package gateway_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosedrift.example/rosedrift/internal/link"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// fakeAgent answers the link protocol and finishes each task at once with its payload as the result.
+type fakeAgent struct {
+	mu       sync.Mutex
+	ref      structs.AgentRef
+	promised structs.Epoch
+	revision structs.Revision
+	beats    uint64
+	started  map[structs.TaskRef]int
+	order    []structs.TaskRef
+}
+
+func (s *system) fakeAgent(id string, g *node) *fakeAgent {
+	a := &fakeAgent{
+		ref:     structs.AgentRef{ID: structs.AgentID(id), Incarnation: 1},
+		started: map[structs.TaskRef]int{},
+	}
+	l, err := link.Dial(context.Background(), "ws://"+g.link+link.PathAgent, link.Options{}, a)
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() {
+		l.Abort()
+		<-l.Done()
+	})
+	require.NoError(s.t, l.Send(link.Control, structs.TypeAgentHello, &structs.AgentHello{
+		Agent: a.ref, Zone: "catania", Service: "lending", Server: id, Slots: 8, Connections: 64,
+	}))
+	return a
+}
+
+func (a *fakeAgent) Closed(*link.Link, error) {}
+
+func (a *fakeAgent) Receive(l *link.Link, envelopes []structs.Envelope) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, e := range envelopes {
+		switch e.Type {
+		case structs.TypeGatewayHeartbeat:
+			var m structs.GatewayHeartbeat
+			_ = link.Decode(e, &m)
+			a.beats++
+			_ = l.Send(link.Control, structs.TypeAgentHeartbeat, &structs.AgentHeartbeat{
+				Revision: a.revision, Promised: a.promised, Seq: a.beats, EchoSeq: m.Seq,
+			})
+		case structs.TypeConfigDocument:
+			var m structs.ConfigDocument
+			_ = link.Decode(e, &m)
+			a.revision = m.Revision
+		case structs.TypeFence:
+			var m structs.Fence
+			_ = link.Decode(e, &m)
+			a.promised = max(a.promised, m.Epoch)
+			_ = l.Send(link.Control, structs.TypeFenceReply, &structs.FenceReply{
+				Pool: m.Pool, Epoch: m.Epoch, Promised: a.promised,
+			})
+		case structs.TypeStart:
+			var m structs.Start
+			_ = link.Decode(e, &m)
+			a.run(l, &m)
+		}
+	}
+}
+
+func (a *fakeAgent) run(l *link.Link, m *structs.Start) {
+	events := make([]structs.TaskEvent, len(m.Tasks))
+	for i, task := range m.Tasks {
+		a.started[task.Task]++
+		a.order = append(a.order, task.Task)
+		events[i] = structs.TaskEvent{
+			Task: task.Task, Kind: structs.TaskFinished, RunTime: time.Microsecond, Result: task.Payload,
+		}
+	}
+	_ = l.Send(link.Urgent, structs.TypeTaskEvents, &structs.TaskEvents{Epoch: m.Epoch, Events: events})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -238,16 +239,23 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          nil,
+		ErrorLog:          g.httpLog(),
 	}
 	return serve(ctx, server, limitListener(g.options.Listener, maxConnections), g.options.ServerTLS)
 }
 
 func (g *Gateway) serveLinks(ctx context.Context) error {
-	server := &http.Server{Handler: http.HandlerFunc(g.acceptLink), ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{
+		Handler: http.HandlerFunc(g.acceptLink), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: g.httpLog(),
+	}
 	return serve(ctx, server, g.options.LinkListener, g.options.LinkTLS)
 }
 
+// httpLog passes the complaints of the HTTP server about single connections on.
+func (g *Gateway) httpLog() *stdlog.Logger {
+	return stdlog.New(log.NewStdlibAdapter(level.Debug(g.logger)), "", 0)
+}
+
 func serve(ctx context.Context, server *http.Server, listener net.Listener, secure *tls.Config) error {
 	if secure != nil {
 		listener = tls.NewListener(listener, secure)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -18,7 +18,7 @@
 
 // system is a small rosedrift in this process: a store stand-in and gateways.
 type system struct {
-	t     *testing.T
+	t     testing.TB
 	store *standin.Store
 	http  *http.Client
 }
@@ -32,8 +32,8 @@
 	result chan error
 }
 
-func newSystem(t *testing.T) *system {
-	s := &system{t: t, store: standin.NewStore(1), http: &http.Client{Transport: &http.Transport{}}}
+func newSystem(t testing.TB) *system {
+	s := &system{t: t, store: standin.NewStore(1), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128}}}
 	t.Cleanup(s.store.Close)
 	t.Cleanup(s.http.CloseIdleConnections)
 	document := configuration.Default()
@@ -42,7 +42,7 @@
 	document.Services = map[string]structs.ServiceConfig{"lending": structs.DefaultServiceConfig()}
 	raw, err := configuration.Encode(document)
 	require.NoError(t, err)
-	_, err = s.store.Put(t.Context(), configuration.Key, raw, store.AnyVersion, 0)
+	_, err = s.store.Put(context.Background(), configuration.Key, raw, store.AnyVersion, 0)
 	require.NoError(t, err)
 	return s
 }
@@ -75,7 +75,7 @@
 }
 
 // awaitConfig waits until the gateway applies the configuration.
-func (n *node) awaitConfig(t *testing.T) {
+func (n *node) awaitConfig(t testing.TB) {
 	require.Eventually(t, func() bool { return n.Config().Revision > 0 }, time.Minute, time.Millisecond)
 }
 
--- /dev/null
+++ b/internal/gateway/path_test.go
@@ -0,0 +1,42 @@
+package gateway_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rosedrift.example/rosedrift/client"
+)
+
+func (s *system) client(nodes ...*node) *client.Client {
+	options := client.Options{Team: "counter", HTTP: s.http}
+	for _, n := range nodes {
+		options.Gateways = append(options.Gateways, n.url)
+	}
+	c, err := client.New(options)
+	require.NoError(s.t, err)
+	return c
+}
+
+func tasks(n int) []json.RawMessage {
+	list := make([]json.RawMessage, n)
+	for i := range list {
+		list[i] = json.RawMessage(fmt.Sprintf(`{"run_ms":5,"echo":"%d"}`, i))
+	}
+	return list
+}
+
+func TestFakePath(t *testing.T) {
+	s := newSystem(t)
+	g := s.gateway("g1")
+	g.awaitConfig(t)
+	for i := range 3 {
+		s.fakeAgent(fmt.Sprintf("a%d", i), g)
+	}
+	c := s.client(g)
+	answer, err := c.Submit(t.Context(), client.Job{Service: "lending", Tasks: tasks(670)})
+	require.NoError(t, err)
+	require.Len(t, answer.Results, 670)
+}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -107,7 +107,9 @@
 	mode     dispatch.Mode
 	adopted  bool
 	frozen   bool
-	returned []dispatch.Events
+	// follow holds inputs that result from carrying out the machine's orders. They are passed in after the orders
+	// at hand, so that these keep their sequence.
+	follow  []dispatch.Input
 	expiry   time.Duration
 	statsAt  time.Duration
 	metrics  poolMetrics
@@ -312,7 +314,7 @@
 func (r *runner) step(in dispatch.Input) {
 	r.refreshMode()
 	r.do(r.machine.Step(r.g.now(), in))
-	r.giveBack()
+	r.followUp()
 }
 
 func (r *runner) refreshMode() {
@@ -328,16 +330,16 @@
 	}
 	r.mode = mode
 	r.do(r.machine.Step(r.g.now(), dispatch.SetMode{Mode: mode}))
+	r.followUp()
 }
 
-// giveBack reports starts that no link accepted as refused: they provably did not reach the agent.
-func (r *runner) giveBack() {
-	for len(r.returned) > 0 {
-		events := r.returned[0]
-		r.returned = r.returned[1:]
-		r.do(r.machine.Step(r.g.now(), events))
+// followUp passes in what has resulted from the last orders.
+func (r *runner) followUp() {
+	for i := 0; i < len(r.follow); i++ {
+		r.do(r.machine.Step(r.g.now(), r.follow[i]))
 	}
-	r.returned = r.returned[:0]
+	clear(r.follow)
+	r.follow = r.follow[:0]
 }
 
 func (r *runner) tick() {
@@ -359,9 +361,9 @@
 		if w.until > now {
 			continue
 		}
-		r.do(r.machine.Step(now, dispatch.DropWaiter{Waiter: id}))
 		delete(r.waiters, id)
 		r.replyStatus(w.request)
+		r.step(dispatch.DropWaiter{Waiter: id})
 	}
 }
 
@@ -507,11 +509,12 @@
 	if w == nil || w.request.Wait > 0 {
 		return
 	}
-	r.do(r.machine.Step(r.g.now(), dispatch.DropWaiter{Waiter: a.Waiter}))
+	r.follow = append(r.follow, dispatch.DropWaiter{Waiter: a.Waiter})
 	delete(r.waiters, a.Waiter)
 	w.request.reply(link.Urgent, &structs.ForwardReply{ID: w.request.ID, Status: &a.Status})
 }
 
+// start sends starts. Those that no link accepted provably did not reach the agent and count as refused.
 func (r *runner) start(a dispatch.SendStart) {
 	class := link.Bulk
 	if a.Urgent {
@@ -526,7 +529,7 @@
 			Task: a.Start.Tasks[i].Task, Kind: structs.TaskRefused, Error: "the link to the agent is down",
 		}
 	}
-	r.returned = append(r.returned, dispatch.Events{Agent: a.Agent, Events: events})
+	r.follow = append(r.follow, dispatch.Events{Agent: a.Agent, Events: events})
 }
 
 // tell sends a message to an agent and reports whether the link accepted it. If not, the agent gets no starts until
@@ -542,7 +545,7 @@
 	}
 	_ = level.Warn(r.g.logger).Log("msg", "message to agent not sent", "agent", agent, "type", typ, "err", err)
 	known.linked = false
-	r.do(r.machine.Step(r.g.now(), known.current()))
+	r.follow = append(r.follow, known.current())
 	return false
 }
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -37,8 +37,11 @@
 	g.peers.wake()
 	sleep(ctx, readinessPause)
 	until := time.Now().Add(g.options.DrainTimeout)
-	for _, r := range g.control.all() {
-		g.handOver(ctx, r, until)
+	// While pools are handed over, the gateway may acquire others.
+	for runners := g.control.all(); len(runners) > 0; runners = g.control.all() {
+		if !g.handOver(ctx, runners[0], until) {
+			break
+		}
 	}
 	g.drainCallers(ctx, until)
 	g.leaveStore(ctx)
@@ -46,19 +49,22 @@
 	return errStopped
 }
 
-// handOver passes a pool to another gateway. Without one, the pool's jobs finish here.
-func (g *Gateway) handOver(ctx context.Context, r *runner, until time.Time) {
+// handOver passes a pool to another gateway and reports whether it has gone. Without another gateway, the pool's jobs
+// finish here.
+func (g *Gateway) handOver(ctx context.Context, r *runner, until time.Time) bool {
 	for ctx.Err() == nil && time.Now().Before(until) {
-		for _, successor := range g.peers.alive() {
+		successors := g.peers.alive()
+		for _, successor := range successors {
 			if g.handOverTo(ctx, r, successor) {
-				return
+				return true
 			}
 		}
-		if r.idle(ctx) {
-			return
+		if len(successors) == 0 && r.idle(ctx) {
+			return false
 		}
 		sleep(ctx, stopPoll)
 	}
+	return false
 }
 
 // handOverTo freezes the pool, sends its snapshot and changes the record. It reports whether the pool has gone.
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -14,6 +14,8 @@
 	ticketBatch = 256
 	// ticketLifetime is how long a fetched ticket is used. The pool refuses tickets older than the retention period.
 	ticketLifetime = time.Minute
+	// ticketRetry is how long the failure of a fetch counts for other requests.
+	ticketRetry = 500 * time.Millisecond
 )
 
 // ticketCache holds tickets of each pool for submissions without a key, so that these cost no request each.
@@ -29,6 +31,8 @@
 	epoch   structs.Epoch
 	at      time.Duration
 	tickets []string
+	// problem is the result of the last fetch, nil if it brought tickets.
+	problem *structs.Problem
 }
 
 func newTicketCache(g *Gateway) *ticketCache {
@@ -47,14 +51,30 @@
 	if ticket, ok := c.held(pool); ok {
 		return ticket, nil
 	}
+	if problem := c.recentProblem(pool); problem != nil {
+		return "", problem
+	}
 	tickets, problem := c.g.fetchTickets(ctx, pool, ticketBatch)
 	if problem != nil {
+		c.store(pool, &ticketStock{problem: problem})
 		return "", problem
 	}
-	c.store(pool, tickets[1:])
+	parsed, _ := structs.ParseTicket(tickets[0])
+	c.store(pool, &ticketStock{epoch: parsed.Epoch, tickets: tickets[1:]})
 	return tickets[0], nil
 }
 
+// recentProblem returns the problem of a fetch that has just failed. Requests that have waited for that fetch must
+// not each wait for one of their own.
+func (c *ticketCache) recentProblem(pool structs.PoolID) *structs.Problem {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if stock := c.byPool[pool]; stock != nil && c.g.now()-stock.at < ticketRetry {
+		return stock.problem
+	}
+	return nil
+}
+
 func (c *ticketCache) fetchLock(pool structs.PoolID) *sync.Mutex {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -79,14 +99,11 @@
 	return ticket, true
 }
 
-func (c *ticketCache) store(pool structs.PoolID, tickets []string) {
-	if len(tickets) == 0 {
-		return
-	}
-	parsed, _ := structs.ParseTicket(tickets[0])
+func (c *ticketCache) store(pool structs.PoolID, stock *ticketStock) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.byPool[pool] = &ticketStock{epoch: parsed.Epoch, at: c.g.now(), tickets: tickets}
+	stock.at = c.g.now()
+	c.byPool[pool] = stock
 }
 
 // anyPool spreads tickets evenly over the pools of a service.
