--- a/cmd/rosedrift-gateway/main.go
+++ b/cmd/rosedrift-gateway/main.go
@@ -5,11 +5,17 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/go-kit/log"
+
+	"rosedrift.example/rosedrift/internal/admin"
+	"rosedrift.example/rosedrift/internal/auth"
 	"rosedrift.example/rosedrift/internal/gateway"
+	"rosedrift.example/rosedrift/internal/query"
 	"rosedrift.example/rosedrift/internal/settings"
 	"rosedrift.example/rosedrift/internal/store"
 	"rosedrift.example/rosedrift/internal/structs"
@@ -26,40 +32,71 @@
 }
 
 func run(s *settings.Gateway) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	logger := telemetry.NewLogger(os.Stderr, s.LogLevel, s.LogFormat)
 	metrics := telemetry.NewMetrics("rosedrift", map[string]string{"gateway": s.Name})
 	defer func() { _ = metrics.Close() }()
 	client := store.NewClient(s.Store, 0, nil)
 	defer client.Close()
-	options, err := listen(s)
-	if err != nil {
+	options := gateway.Options{
+		Name:         structs.GatewayID(s.Name),
+		Zone:         s.Zone,
+		Store:        client,
+		Advertise:    s.Advertise,
+		Logger:       logger,
+		Metrics:      metrics,
+		LinkKey:      s.ClusterKey,
+		DrainTimeout: s.DrainTimeout.Duration,
+		MaxBodyBytes: s.MaxBodyBytes.Value,
+		HeldBytes:    s.HeldBytes.Value,
+	}
+	if err := secure(ctx, s, logger, &options); err != nil {
+		return err
+	}
+	if err := listen(s, &options); err != nil {
 		return err
 	}
-	options.Store = client
-	options.Metrics = metrics
 	g, err := gateway.New(options)
 	if err != nil {
 		return err
 	}
 	stopOnSignal(g)
-	return g.Run(context.Background())
+	return g.Run(ctx)
 }
 
-func listen(s *settings.Gateway) (gateway.Options, error) {
-	options := gateway.Options{
-		Name:         structs.GatewayID(s.Name),
-		Zone:         s.Zone,
-		Advertise:    s.Advertise,
-		Logger:       telemetry.NewLogger(os.Stderr, s.LogLevel, s.LogFormat),
-		DrainTimeout: s.DrainTimeout.Duration,
-		MaxBodyBytes: s.MaxBodyBytes.Value,
-		HeldBytes:    s.HeldBytes.Value,
+// secure loads keys and certificates and follows their changes until the context ends.
+func secure(ctx context.Context, s *settings.Gateway, logger log.Logger, options *gateway.Options) error {
+	keys, err := auth.Open(s.KeysFile, logger)
+	if err != nil {
+		return err
+	}
+	go keys.Run(ctx)
+	options.Auth = keys
+	options.Admin = func(mux *http.ServeMux, system admin.System) {
+		admin.NewHandler(admin.Options{
+			System: system, Executor: query.NewExecutor(system), Authorizer: keys, Logger: logger,
+		}).Register(mux)
 	}
+	if s.TLSCert == "" {
+		return nil
+	}
+	secured, err := auth.OpenTLS(auth.Files{Certificate: s.TLSCert, PrivateKey: s.TLSKey, Authorities: s.TLSCA}, logger)
+	if err != nil {
+		return err
+	}
+	go secured.Run(ctx)
+	options.LinkTLS, options.ClientTLS, options.IsGateway = secured.Server(), secured.Client, auth.IsGateway
+	return nil
+}
+
+func listen(s *settings.Gateway, options *gateway.Options) error {
 	var err error
 	if options.Listener, err = net.Listen("tcp", s.Listen); err != nil {
-		return options, err
+		return err
 	}
 	options.LinkListener, err = net.Listen("tcp", s.LinkListen)
-	return options, err
+	return err
 }
 
 // stopOnSignal begins the planned stop at the first SIGTERM or SIGINT. A second one ends the process at once.
--- a/internal/gateway/api.go
+++ b/internal/gateway/api.go
@@ -36,9 +36,7 @@
 		mux.Handle("GET /metrics", g.options.Metrics)
 	}
 	if g.options.Admin != nil {
-		administration := g.options.Admin(g)
-		mux.Handle("/v1/admin/", administration)
-		mux.Handle("/", administration)
+		g.options.Admin(mux, g)
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// A kept connection still has the write deadline of its previous response.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,7 +37,7 @@
 	Team(r *http.Request) (string, *structs.Problem)
 }
 
-// Options configures a gateway. Name, Zone, Store, Listener and LinkListener are required.
+// Options configures a gateway. Name, Zone, Store, Listener, LinkListener and Auth are required.
 type Options struct {
 	Name structs.GatewayID
 	Zone string
@@ -52,19 +52,19 @@
 	Logger    log.Logger
 	// Metrics may be nil.
 	Metrics *telemetry.Metrics
-	// ServerTLS and ClientTLS secure listeners and dialed links; nil means plain TCP.
-	ServerTLS *tls.Config
+	// APITLS and LinkTLS secure the listeners; nil means plain TCP. ClientTLS returns the configuration of one dial.
+	APITLS    *tls.Config
 	LinkTLS   *tls.Config
-	ClientTLS *tls.Config
-	// LinkHeader is sent when dialing other gateways; CheckLink checks it on accepted links and may be nil.
-	LinkHeader http.Header
-	CheckLink  func(r *http.Request) bool
+	ClientTLS func() *tls.Config
+	// IsGateway reports whether the certificate of an accepted link is a gateway's; nil accepts every peer as one.
+	IsGateway func(tls.ConnectionState) bool
+	// LinkKey is the shared key of rosedrift processes; empty means none.
+	LinkKey string
 	// LinkFault injects faults into all links in tests.
 	LinkFault *link.Fault
-	// Auth is LoopbackAuth if nil.
 	Auth Authenticator
-	// Admin builds the handler of the admin API and the status page; nil serves none.
-	Admin func(admin.System) http.Handler
+	// Admin adds the admin API and the status page to the mux; nil adds none.
+	Admin func(mux *http.ServeMux, system admin.System)
 	// DrainTimeout bounds a planned stop, 0 means a minute.
 	DrainTimeout time.Duration
 	// MaxBodyBytes bounds a body whatever the configuration says, HeldBytes the memory for all bodies of callers.
@@ -146,8 +146,11 @@
 }
 
 func complete(o *Options) error {
-	if o.Name == "" || o.Zone == "" || o.Store == nil || o.Listener == nil || o.LinkListener == nil {
-		return errors.New("gateway: name, zone, store and both listeners are required")
+	if o.Name == "" || o.Zone == "" || o.Store == nil || o.Auth == nil {
+		return errors.New("gateway: name, zone, store and authenticator are required")
+	}
+	if o.Listener == nil || o.LinkListener == nil {
+		return errors.New("gateway: both listeners are required")
 	}
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
@@ -158,9 +161,6 @@
 	for o.Incarnation == 0 {
 		o.Incarnation = structs.Incarnation(rand.Uint64() >> 1)
 	}
-	if o.Auth == nil {
-		o.Auth = LoopbackAuth{}
-	}
 	if o.DrainTimeout <= 0 {
 		o.DrainTimeout = defaultDrainTimeout
 	}
@@ -241,7 +241,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          g.httpLog(),
 	}
-	return serve(ctx, server, limitListener(g.options.Listener, maxConnections), g.options.ServerTLS)
+	return serve(ctx, server, limitListener(g.options.Listener, maxConnections), g.options.APITLS)
 }
 
 func (g *Gateway) serveLinks(ctx context.Context) error {
@@ -268,24 +268,6 @@
 	return nil
 }
 
-// LoopbackAuth takes the team from the header Rosedrift-Team. It is for listeners on loopback only.
-type LoopbackAuth struct{}
-
-// defaultTeam is the team of requests without a header.
-const defaultTeam = "default"
-
-// Team implements Authenticator.
-func (LoopbackAuth) Team(r *http.Request) (string, *structs.Problem) {
-	team := r.Header.Get("Rosedrift-Team")
-	if team == "" {
-		return defaultTeam, nil
-	}
-	if !structs.ValidName(team) {
-		return "", refusal(structs.CodeBadRequest, "the header Rosedrift-Team is no valid name")
-	}
-	return team, nil
-}
-
 // Config returns the configuration that this gateway applies. It is read only and never nil.
 func (g *Gateway) Config() *structs.Configuration { return g.config.current() }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -7,8 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"rosedrift.example/rosedrift/internal/auth"
 	"rosedrift.example/rosedrift/internal/configuration"
 	"rosedrift.example/rosedrift/internal/gateway"
 	"rosedrift.example/rosedrift/internal/standin"
@@ -52,9 +54,11 @@
 	require.NoError(s.t, err)
 	links, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err)
+	keys, err := auth.Open("", log.NewNopLogger())
+	require.NoError(s.t, err)
 	g, err := gateway.New(gateway.Options{
 		Name: structs.GatewayID(name), Zone: "catania", Store: s.store, Listener: api, LinkListener: links,
-		DrainTimeout: 20 * time.Second,
+		Auth: keys, DrainTimeout: 20 * time.Second,
 	})
 	require.NoError(s.t, err)
 	ctx, kill := context.WithCancel(context.Background())
--- a/internal/gateway/http_test.go
+++ b/internal/gateway/http_test.go
@@ -57,6 +57,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			r, err := http.NewRequestWithContext(t.Context(), c.method, g.url+c.path, strings.NewReader(c.body))
 			require.NoError(t, err)
+			r.Header.Set("Rosedrift-Team", "counter")
 			if c.header != "" {
 				r.Header.Set("Idempotency-Key", c.header)
 			}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"crypto/subtle"
+	"errors"
 	"net/http"
 
 	"github.com/go-kit/log/level"
@@ -19,16 +21,24 @@
 	out   *outbound
 	agent *agentConn
 	peer  structs.GatewayRef
+	// agentOnly is true if the other side has proven to be no gateway.
+	agentOnly bool
 }
 
+// errNotGateway refuses the messages of a gateway from a process whose certificate is an agent's.
+var errNotGateway = errors.New("gateway: the certificate of the link is not a gateway's")
+
 // acceptLink serves the link listener: agents and gateways use the same path.
 func (g *Gateway) acceptLink(w http.ResponseWriter, r *http.Request) {
-	if g.options.CheckLink != nil && !g.options.CheckLink(r) {
+	want := "Bearer " + g.options.LinkKey
+	if g.options.LinkKey != "" && subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(want)) != 1 {
 		http.Error(w, "the key of the link is wrong", http.StatusUnauthorized)
 		return
 	}
+	handler := &linkHandler{g: g}
+	handler.agentOnly = g.options.IsGateway != nil && (r.TLS == nil || !g.options.IsGateway(*r.TLS))
 	options := link.Options{Fault: g.options.LinkFault, Logger: g.logger}
-	l, err := link.Accept(w, r, options, &linkHandler{g: g})
+	l, err := link.Accept(w, r, options, handler)
 	if err != nil {
 		_ = level.Info(g.logger).Log("msg", "link not accepted", "err", err)
 		return
@@ -71,6 +81,9 @@
 	case structs.TypeAgentHello:
 		return decoded(e, func(m *structs.AgentHello) { h.agent = h.g.agents.register(l, m) })
 	case structs.TypePeerHello:
+		if h.agentOnly {
+			return errNotGateway
+		}
 		return decoded(e, func(m *structs.PeerHello) {
 			h.peer = m.Gateway
 			h.g.peers.sawHello(l, m, h.out == nil)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -174,10 +175,14 @@
 }
 
 func (p *peers) linkOptions() link.Options {
-	return link.Options{
-		TLS: p.g.options.ClientTLS, Header: p.g.options.LinkHeader, Fault: p.g.options.LinkFault,
-		Logger: p.g.logger,
+	options := link.Options{Fault: p.g.options.LinkFault, Logger: p.g.logger, Header: http.Header{}}
+	if p.g.options.ClientTLS != nil {
+		options.TLS = p.g.options.ClientTLS()
+	}
+	if p.g.options.LinkKey != "" {
+		options.Header.Set("Authorization", "Bearer "+p.g.options.LinkKey)
 	}
+	return options
 }
 
 func (p *peers) hello() *structs.PeerHello {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -13,7 +13,7 @@
 	LinkListen   string   `arg:"--link-listen,env:ROSEDRIFT_LINK_LISTEN" default:"127.0.0.1:7401" check:"hostport" help:"address for agents and other gateways"`
 	Advertise    string   `arg:"--advertise,env:ROSEDRIFT_ADVERTISE" check:"hostport" help:"address under which agents and other gateways reach link-listen; default: the listening address"`
 	Store        string   `arg:"--store,env:ROSEDRIFT_STORE" required:"yes" check:"url" help:"URL of the platform's store"`
-	TLSCert      string   `arg:"--tls-cert,env:ROSEDRIFT_TLS_CERT" check:"file" help:"certificate chain (PEM) of this process"`
+	TLSCert      string   `arg:"--tls-cert,env:ROSEDRIFT_TLS_CERT" check:"file" help:"certificate chain (PEM) of this process for links with agents and gateways"`
 	TLSKey       string   `arg:"--tls-key,env:ROSEDRIFT_TLS_KEY" check:"file" help:"private key (PEM) of this process"`
 	TLSCA        string   `arg:"--tls-ca,env:ROSEDRIFT_TLS_CA" check:"file" help:"certificates (PEM) that sign agents' and gateways' certificates"`
 	KeysFile     string   `arg:"--keys-file,env:ROSEDRIFT_KEYS_FILE" check:"file" help:"file with the keys of teams and operators"`
@@ -26,8 +26,8 @@
 // Validate implements Validator.
 func (g *Gateway) Validate() []Fault {
 	var faults []Fault
-	if (g.TLSCert == "") != (g.TLSKey == "") {
-		faults = append(faults, Fault{"--tls-cert", "ROSEDRIFT_TLS_CERT", "needs --tls-key and the other way round"})
+	if (g.TLSCert == "") != (g.TLSKey == "") || (g.TLSCert == "") != (g.TLSCA == "") {
+		faults = append(faults, Fault{"--tls-cert", "ROSEDRIFT_TLS_CERT", "--tls-cert, --tls-key and --tls-ca go together"})
 	}
 	if g.KeysFile == "" && !IsLoopback(g.Listen) {
 		faults = append(faults, Fault{"--keys-file", "ROSEDRIFT_KEYS_FILE", "is required unless listen is a loopback address"})
