--- a/internal/gateway/fakeagent_test.go
+++ b/internal/gateway/fakeagent_test.go
@@ -22,20 +22,22 @@
 	order    []structs.TaskRef
 }
 
-func (s *system) fakeAgent(id string, g *node) *fakeAgent {
+func (s *system) fakeAgent(id string, nodes ...*node) *fakeAgent {
 	a := &fakeAgent{
 		ref:     structs.AgentRef{ID: structs.AgentID(id), Incarnation: 1},
 		started: map[structs.TaskRef]int{},
 	}
-	l, err := link.Dial(context.Background(), "ws://"+g.link+link.PathAgent, link.Options{}, a)
-	require.NoError(s.t, err)
-	s.t.Cleanup(func() {
-		l.Abort()
-		<-l.Done()
-	})
-	require.NoError(s.t, l.Send(link.Control, structs.TypeAgentHello, &structs.AgentHello{
-		Agent: a.ref, Zone: "catania", Service: "lending", Server: id, Slots: 8, Connections: 64,
-	}))
+	for _, g := range nodes {
+		l, err := link.Dial(context.Background(), "ws://"+g.link+link.PathAgent, link.Options{}, a)
+		require.NoError(s.t, err)
+		s.t.Cleanup(func() {
+			l.Abort()
+			<-l.Done()
+		})
+		require.NoError(s.t, l.Send(link.Control, structs.TypeAgentHello, &structs.AgentHello{
+			Agent: a.ref, Zone: "catania", Service: "lending", Server: id, Slots: 8, Connections: 64,
+		}))
+	}
 	return a
 }
 
--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -40,3 +40,20 @@
 	require.NoError(t, err)
 	require.Len(t, answer.Results, 670)
 }
+
+func TestFakeForward(t *testing.T) {
+	s := newSystem(t)
+	nodes := []*node{s.gateway("g1"), s.gateway("g2")}
+	for _, n := range nodes {
+		n.awaitConfig(t)
+	}
+	for i := range 3 {
+		s.fakeAgent(fmt.Sprintf("a%d", i), nodes...)
+	}
+	job := client.Job{Service: "lending", Tasks: tasks(670), Key: "k1"}
+	first, err := s.client(nodes[0]).Submit(t.Context(), job)
+	require.NoError(t, err)
+	second, err := s.client(nodes[1]).Submit(t.Context(), job)
+	require.NoError(t, err)
+	require.Equal(t, first, second)
+}
