--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -275,7 +275,8 @@
 	if pool.Service == "" {
 		return
 	}
-	if acked.seq == h.EchoSeq && acked.epoch != 0 && h.Promised <= acked.epoch {
+	stale := acked.epoch != 0 && h.Promised > acked.epoch
+	if h.EchoSeq > 0 && acked.seq == h.EchoSeq && !stale {
 		a.g.control.push(a.g.ctx, ownership.AgentAck{
 			Pool: pool, Agent: conn.ref, Epoch: acked.epoch, SentAt: acked.sentAt,
 		})
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -36,11 +36,13 @@
 	return c
 }
 
-// withoutMajority lists the pools of whose roster this gateway sees no majority.
+// withoutMajority lists the pools of whose roster this gateway sees no majority. The pools of a new service have no
+// owner and no roster yet.
 func (c *config) withoutMajority(document *structs.Configuration) []structs.PoolID {
 	var missing []structs.PoolID
+	configured := c.current().Services
 	for _, pool := range poolsOf(document) {
-		if !c.g.control.hasMajority(pool) {
+		if _, ok := configured[pool.Service]; ok && !c.g.control.hasMajority(pool) {
 			missing = append(missing, pool)
 		}
 	}
--- a/internal/gateway/decode.go
+++ b/internal/gateway/decode.go
@@ -76,7 +76,9 @@
 type errTooManyTasks struct{ limit int }
 
 // Error implements error.
-func (e errTooManyTasks) Error() string { return fmt.Sprintf("the job has more than %d tasks", e.limit) }
+func (e errTooManyTasks) Error() string {
+	return fmt.Sprintf("the job has more than %d tasks", e.limit)
+}
 
 func (d *bodyDecoder) object() error {
 	if err := d.delim('{', "body", "must be a JSON object"); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,7 +62,7 @@
 	LinkKey string
 	// LinkFault injects faults into all links in tests.
 	LinkFault *link.Fault
-	Auth Authenticator
+	Auth      Authenticator
 	// Admin adds the admin API and the status page to the mux; nil adds none.
 	Admin func(mux *http.ServeMux, system admin.System)
 	// DrainTimeout bounds a planned stop, 0 means a minute.
@@ -270,4 +270,3 @@
 
 // Config returns the configuration that this gateway applies. It is read only and never nil.
 func (g *Gateway) Config() *structs.Configuration { return g.config.current() }
-
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -93,11 +93,17 @@
 	case structs.TypeConfigRequest:
 		h.g.config.sync(l, 0)
 		return nil
+	default:
+		return h.fromKnown(l, e)
 	}
-	if h.agent != nil {
+}
+
+// fromKnown handles messages after the hello. Without one they are ignored.
+func (h *linkHandler) fromKnown(l *link.Link, e structs.Envelope) error {
+	switch {
+	case h.agent != nil:
 		return h.fromAgent(e)
-	}
-	if h.peer.ID != "" {
+	case h.peer.ID != "":
 		return h.fromPeer(l, e)
 	}
 	return nil
@@ -124,8 +130,9 @@
 		return decoded(e, func(m *structs.FenceReply) {
 			h.g.control.push(h.g.ctx, ownership.FenceReplied{Agent: h.agent.ref, Reply: *m})
 		})
+	default:
+		return nil
 	}
-	return nil
 }
 
 // taskEvents passes events to the pool's runner. Events of a later epoch belong to another owner.
@@ -157,8 +164,9 @@
 				h.out.handoffReplied(m)
 			}
 		})
+	default:
+		return nil
 	}
-	return nil
 }
 
 // forwarded serves a request of another gateway.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,9 +17,9 @@
 
 // Timing of peer links.
 const (
-	dialTimeout  = 2 * time.Second
-	redialPause  = 100 * time.Millisecond
-	redialMax    = time.Second
+	dialTimeout = 2 * time.Second
+	redialPause = 100 * time.Millisecond
+	redialMax   = time.Second
 	// replyMargin is how long a reply may be late before its request counts as cut. It covers the reply's way.
 	replyMargin = 3 * time.Second
 )
@@ -32,17 +32,17 @@
 
 // peer is another gateway. Fields are guarded by peers.mu.
 type peer struct {
-	ref       structs.GatewayRef
-	zone      string
-	revision  structs.Revision
-	owned     []structs.OwnedPool
-	stopping  bool
-	heard     time.Duration
-	inForce   structs.Revision
-	out       *outbound
-	cancel    context.CancelFunc
-	address   string
-	unlisted  bool
+	ref      structs.GatewayRef
+	zone     string
+	revision structs.Revision
+	owned    []structs.OwnedPool
+	stopping bool
+	heard    time.Duration
+	inForce  structs.Revision
+	out      *outbound
+	cancel   context.CancelFunc
+	address  string
+	unlisted bool
 }
 
 // outbound is a dialed link with the requests that wait for replies.
@@ -458,4 +458,3 @@
 		delete(o.handoffs, id)
 	}
 }
-
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -100,19 +100,19 @@
 	done    chan struct{}
 
 	// The fields below belong to the goroutine.
-	machine  *dispatch.Pool
-	agents   map[structs.AgentRef]*poolAgent
-	waiters  map[dispatch.WaiterID]*waiter
-	byWait   dispatch.WaiterID
-	mode     dispatch.Mode
-	adopted  bool
-	frozen   bool
+	machine *dispatch.Pool
+	agents  map[structs.AgentRef]*poolAgent
+	waiters map[dispatch.WaiterID]*waiter
+	byWait  dispatch.WaiterID
+	mode    dispatch.Mode
+	adopted bool
+	frozen  bool
 	// follow holds inputs that result from carrying out the machine's orders. They are passed in after the orders
 	// at hand, so that these keep their sequence.
 	follow  []dispatch.Input
-	expiry   time.Duration
-	statsAt  time.Duration
-	metrics  poolMetrics
+	expiry  time.Duration
+	statsAt time.Duration
+	metrics poolMetrics
 }
 
 func newRunner(g *Gateway, pool structs.PoolID, epoch structs.Epoch) *runner {
--- /dev/null
+++ b/internal/local/local_test.go
@@ -0,0 +1,182 @@
+package local
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/go-kit/log"
+
+	"rosedrift.example/rosedrift/client"
+	"rosedrift.example/rosedrift/internal/telemetry"
+)
+
+// TestMain guards against goroutines that outlive Close.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const jobSize = 670
+
+func start(t *testing.T) *System {
+	var logger log.Logger
+	if os.Getenv("ROSEDRIFT_TEST_LOG") != "" {
+		logger = telemetry.NewLogger(os.Stderr, "info", "logfmt")
+	}
+	s, err := Start(Options{Seed: 1, Logger: logger})
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func clientOf(t *testing.T, urls ...string) *client.Client {
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	c, err := client.New(client.Options{Gateways: urls, Team: "counter", HTTP: &http.Client{Transport: transport}})
+	require.NoError(t, err)
+	return c
+}
+
+func tasks(n int, runMillis float64) []json.RawMessage {
+	list := make([]json.RawMessage, n)
+	for i := range list {
+		list[i] = json.RawMessage(fmt.Sprintf(`{"run_ms":%g,"echo":"%d"}`, runMillis, i))
+	}
+	return list
+}
+
+// requireWhole checks that an answer is whole and in order, and that each task has started exactly once.
+func requireWhole(t *testing.T, s *System, answer *client.Answer) {
+	require.Len(t, answer.Results, jobSize)
+	for i, raw := range answer.Results {
+		var result struct{ Job, Task, Echo string }
+		require.NoError(t, json.Unmarshal(raw, &result))
+		require.Equal(t, answer.Job, result.Job)
+		require.Equal(t, fmt.Sprint(i), result.Echo)
+	}
+	starts := startsOf(s, answer.Job)
+	require.Len(t, starts, jobSize)
+	for task, n := range starts {
+		require.Equal(t, 1, n, "task %s", task)
+	}
+}
+
+func startsOf(s *System, job string) map[string]int {
+	starts := map[string]int{}
+	for _, b := range s.Backends {
+		for _, start := range b.Starts(0) {
+			if start.Job == job {
+				starts[start.Task]++
+			}
+		}
+	}
+	return starts
+}
+
+// TestResubmissionThroughAnotherGateway guards against a second run of a job that a client believes lost.
+func TestResubmissionThroughAnotherGateway(t *testing.T) {
+	s := start(t)
+	job := client.Job{Service: DefaultService, Priority: client.Urgent, Once: true, Key: "order-17", Tasks: tasks(jobSize, 2)}
+	first, err := clientOf(t, s.Gateways[0].URL).Submit(t.Context(), job)
+	require.NoError(t, err)
+	requireWhole(t, s, first)
+	second, err := clientOf(t, s.Gateways[1].URL).Submit(t.Context(), job)
+	require.NoError(t, err)
+	require.Equal(t, first, second)
+	requireWhole(t, s, second)
+
+	job.Tasks = tasks(jobSize, 3)
+	_, err = clientOf(t, s.Gateways[1].URL).Submit(t.Context(), job)
+	var refused *client.Error
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, client.CodeKeyReused, refused.Code)
+	require.Equal(t, client.OutcomeNotRun, refused.Outcome)
+}
+
+// ownerAndOther returns the gateway that owns the only pool and another one.
+func ownerAndOther(t *testing.T, s *System) (owner, other *Gateway) {
+	for _, g := range s.Gateways {
+		for _, info := range g.Gateways(t.Context()) {
+			if info.Self && len(info.Pools) > 0 {
+				owner = g
+			} else if info.Self {
+				other = g
+			}
+		}
+	}
+	require.NotNil(t, owner)
+	require.NotNil(t, other)
+	return owner, other
+}
+
+// whileRunning submits a job through the gateway that does not own the pool, and acts on the owner when the job runs.
+func whileRunning(t *testing.T, act func(owner *Gateway)) {
+	s := start(t)
+	warm, err := clientOf(t, s.URLs()...).Submit(t.Context(), client.Job{Service: DefaultService, Tasks: tasks(1, 1)})
+	require.NoError(t, err)
+	require.Len(t, warm.Results, 1)
+	owner, other := ownerAndOther(t, s)
+	c := clientOf(t, other.URL)
+	job := client.Job{Service: DefaultService, Once: true, Key: "order-18", Tasks: tasks(jobSize, 100)}
+	status, err := c.Start(t.Context(), job)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return len(startsOf(s, status.Job)) > jobSize/4 }, time.Minute, 5*time.Millisecond)
+	act(owner)
+	answer, err := c.Await(t.Context(), status.Job)
+	require.NoError(t, err)
+	requireWhole(t, s, answer)
+}
+
+// TestOwnerStopped guards against a planned stop that cuts a job short or runs a task twice.
+func TestOwnerStopped(t *testing.T) {
+	whileRunning(t, func(owner *Gateway) { require.NoError(t, owner.StopAndWait()) })
+}
+
+// TestOwnerKilled guards against the loss of a job, or a second start of its tasks, when the owner crashes: the entry
+// gateway presents the body to the next owner, which knows from the agents what has started.
+func TestOwnerKilled(t *testing.T) {
+	whileRunning(t, func(owner *Gateway) { owner.Kill() })
+}
+
+// TestProgressAndCancel guards against streams without an end, and against cancelled jobs whose tasks still start.
+func TestProgressAndCancel(t *testing.T) {
+	s := start(t)
+	c := clientOf(t, s.URLs()...)
+	status, err := c.Start(t.Context(), client.Job{Service: DefaultService, Tasks: tasks(jobSize, 200)})
+	require.NoError(t, err)
+	var seen []client.Status
+	ended := make(chan client.Outcome, 1)
+	watching := make(chan struct{})
+	go func() {
+		outcome, _ := clientOf(t, s.Gateways[1].URL).Progress(t.Context(), status.Job, func(st client.Status) {
+			if seen = append(seen, st); len(seen) == 1 {
+				close(watching)
+			}
+		})
+		ended <- outcome
+	}()
+	<-watching
+	outcome, err := c.Cancel(t.Context(), status.Job)
+	require.NoError(t, err)
+	require.Contains(t, []client.Outcome{client.OutcomeMayHaveRun, client.OutcomeFailed}, outcome)
+	require.Equal(t, outcome, <-ended)
+	require.Equal(t, jobSize, seen[0].Tasks)
+	_, err = c.Await(t.Context(), status.Job)
+	var refused *client.Error
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, client.CodeCancelled, refused.Code)
+	started := len(startsOf(s, status.Job))
+	require.Less(t, started, jobSize)
+
+	// Another team learns nothing of the job.
+	other, err := client.New(client.Options{Gateways: s.URLs(), Team: "other"})
+	require.NoError(t, err)
+	defer other.Close()
+	_, err = other.Await(t.Context(), status.Job)
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, client.CodeNotFound, refused.Code)
+}
