--- a/internal/gateway/api.go
+++ b/internal/gateway/api.go
@@ -317,9 +317,7 @@
 // writeEnd writes the end of a job of this gateway's custody.
 func (g *Gateway) writeEnd(w http.ResponseWriter, k *custodyOf) {
 	if k.reply.Answer != nil {
-		g.metrics.answers.Inc(1)
-		limitWrite(w)
-		writeAnswer(w, k.reply.Answer)
+		g.writeCounted(w, k.reply.Answer)
 		return
 	}
 	g.metrics.refusals.Inc(1)
@@ -327,6 +325,19 @@
 	writeProblem(w, k.reply.Problem, &k.submission.Job)
 }
 
+// writeCounted writes the end of a job within the memory for bodies and answers.
+func (g *Gateway) writeCounted(w http.ResponseWriter, answer *structs.Answer) {
+	g.metrics.answers.Inc(1)
+	limitWrite(w)
+	held, problem := g.answerGrant(answer)
+	if problem != nil {
+		writeProblem(w, problem, &answer.Job)
+		return
+	}
+	defer held.release()
+	writeAnswer(w, answer)
+}
+
 // parseJob returns the job named in the path.
 func parseJob(r *http.Request) (structs.JobID, *structs.Problem) {
 	job, err := structs.ParseJobID(r.PathValue("id"))
@@ -363,19 +374,35 @@
 	if problem != nil {
 		return problem
 	}
-	reply, problem := g.awaitJob(r.Context(), job, team, wait)
+	waiting, cancel := g.untilStop(r.Context())
+	defer cancel()
+	reply, problem := g.awaitJob(waiting, job, team, wait)
+	if waiting.Err() != nil {
+		reply, problem = g.awaitJob(r.Context(), job, team, 0)
+	}
 	if problem != nil {
 		return problem
 	}
 	limitWrite(w)
 	if reply.Answer != nil {
-		writeAnswer(w, reply.Answer)
+		g.writeCounted(w, reply.Answer)
 		return nil
 	}
 	writeJSON(w, http.StatusAccepted, newStatusBody(reply.Status, ""))
 	return nil
 }
 
+// untilStop returns a context that also ends when a planned stop begins: a caller who waits for a job then gets its
+// state at once and waits on through another gateway.
+func (g *Gateway) untilStop(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	unhook := context.AfterFunc(g.stopContext, cancel)
+	return ctx, func() {
+		unhook()
+		cancel()
+	}
+}
+
 // awaitJob waits for the end of a job in steps that an owner holds a request for.
 func (g *Gateway) awaitJob(
 	ctx context.Context, job structs.JobID, team string, wait time.Duration,
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -175,8 +175,15 @@
 	c.ownershipChanged()
 }
 
+// modeNames are the words for modes in log lines.
+var modeNames = map[dispatch.Mode]string{
+	dispatch.Recovering: "recovering", dispatch.Attached: "attached", dispatch.Detached: "detached",
+	dispatch.Suspended: "suspended",
+}
+
 func (c *control) modeChanged(a ownership.ModeChanged) {
-	_ = level.Info(c.g.logger).Log("msg", "pool mode changed", "pool", a.Pool, "epoch", a.Epoch, "mode", a.Mode)
+	_ = level.Info(c.g.logger).Log("msg", "pool mode changed", "pool", a.Pool, "epoch", a.Epoch,
+		"mode", modeNames[a.Mode])
 	r := c.runner(a.Pool)
 	if r != nil && r.epoch == a.Epoch {
 		r.send(dispatch.Tick{})
--- a/internal/gateway/custody.go
+++ b/internal/gateway/custody.go
@@ -95,9 +95,9 @@
 	g.metrics.submissions.Inc(1)
 	g.custody.add(k)
 	g.spawn(func() {
-		defer g.custody.remove(k)
-		defer k.grant.release()
 		g.deliver(g.ctx, k)
+		k.grant.release()
+		g.custody.remove(k)
 	})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,8 +108,10 @@
 	// background counts pool runners, custodies and other goroutines besides the duties.
 	background sync.WaitGroup
 	stopping   atomic.Bool
-	stop       chan struct{}
-	stopOnce   sync.Once
+	// stopContext ends when a planned stop is ordered.
+	stopContext context.Context
+	orderStop   context.CancelFunc
+	api         *http.Server
 	// lastRenewal is the time of the last successful lease renewal, 0 before the first.
 	lastRenewal atomic.Int64
 	// lease is the store lease in force, 0 if there is none.
@@ -128,9 +130,9 @@
 		scope:   tally.NoopScope,
 		health:  telemetry.NewHealth("no store lease yet"),
 		started: time.Now(),
-		stop:    make(chan struct{}),
 		held:    memory{limit: options.HeldBytes},
 	}
+	g.stopContext, g.orderStop = context.WithCancel(context.Background())
 	if options.Metrics != nil {
 		g.scope = options.Metrics.Scope
 	}
@@ -142,6 +144,13 @@
 	g.custody = newCustodies()
 	g.tickets = newTicketCache(g)
 	g.metrics = newEntryMetrics(g.scope)
+	g.api = &http.Server{
+		Handler:           g.handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          g.httpLog(),
+	}
 	return g, nil
 }
 
@@ -183,7 +192,7 @@
 func (g *Gateway) Ref() structs.GatewayRef { return g.self }
 
 // Stop begins a planned stop: pools are handed over, callers' requests finish and Run returns nil.
-func (g *Gateway) Stop() { g.stopOnce.Do(func() { close(g.stop) }) }
+func (g *Gateway) Stop() { g.orderStop() }
 
 // errStopped ends the duties after a planned stop.
 var errStopped = errors.New("gateway: planned stop is complete")
@@ -203,6 +212,7 @@
 	_ = level.Info(g.logger).Log("msg", "gateway started", "ref", g.self, "zone", g.options.Zone,
 		"api", g.options.Listener.Addr(), "links", g.options.Advertise)
 	err := group.Wait()
+	g.orderStop()
 	g.agents.closeAll()
 	g.peers.closeAll()
 	g.background.Wait()
@@ -234,14 +244,7 @@
 }
 
 func (g *Gateway) serveAPI(ctx context.Context) error {
-	server := &http.Server{
-		Handler:           g.handler(),
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          g.httpLog(),
-	}
-	return serve(ctx, server, limitListener(g.options.Listener, maxConnections), g.options.APITLS)
+	return serve(ctx, g.api, limitListener(g.options.Listener, maxConnections), g.options.APITLS)
 }
 
 func (g *Gateway) serveLinks(ctx context.Context) error {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -62,6 +62,22 @@
 	return nil
 }
 
+// answerGrant counts the results of an answer while they are written to a caller, who may read slowly.
+func (g *Gateway) answerGrant(answer *structs.Answer) (*grant, *structs.Problem) {
+	held := &grant{memory: &g.held}
+	size := int64(0)
+	for _, result := range answer.Results {
+		size += int64(len(result))
+	}
+	if held.add(size) == nil {
+		return held, nil
+	}
+	return nil, &structs.Problem{
+		Code: structs.CodeUnavailable, Outcome: answer.Outcome, RetryAfter: memoryRetryAfter,
+		Detail: "the job has ended; the gateway holds too many answers at the moment, so fetch this one again",
+	}
+}
+
 func (g *grant) release() {
 	g.memory.used.Add(-g.held)
 	g.held = 0
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,13 @@
 	}
 }
 
+// reportHeld updates the gauges of what is held for callers.
+func (g *Gateway) reportHeld() {
+	count, _ := g.custody.idle()
+	g.metrics.custodies.Update(float64(count))
+	g.metrics.held.Update(float64(g.held.used.Load()))
+}
+
 // poolMetrics exposes dispatch.Stats.
 type poolMetrics struct {
 	last      dispatch.Stats
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -227,6 +227,7 @@
 			_ = l.Send(link.Control, structs.TypePeerHeartbeat, beat)
 		}
 		p.forgetGone()
+		p.g.reportHeld()
 	}
 }
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -20,7 +20,7 @@
 	handoffTimeout = 5 * time.Second
 	// stopPoll is the interval of checks during a stop.
 	stopPoll = 20 * time.Millisecond
-	// lingerPause lets the last responses leave before connections close.
+	// lingerPause lets the last replies to other gateways leave before links close.
 	lingerPause = 200 * time.Millisecond
 )
 
@@ -29,7 +29,7 @@
 	select {
 	case <-ctx.Done():
 		return nil
-	case <-g.stop:
+	case <-g.stopContext.Done():
 	}
 	_ = level.Info(g.logger).Log("msg", "planned stop begins")
 	g.health.NotReady("stopping", "a planned stop is under way")
@@ -44,6 +44,7 @@
 		}
 	}
 	g.drainCallers(ctx, until)
+	g.finishResponses(ctx, until)
 	g.leaveStore(ctx)
 	_ = level.Info(g.logger).Log("msg", "planned stop is complete")
 	return errStopped
@@ -165,6 +166,15 @@
 	sleep(ctx, lingerPause)
 }
 
+// finishResponses closes the caller API after the responses under way.
+func (g *Gateway) finishResponses(ctx context.Context, until time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	if err := g.api.Shutdown(ctx); err != nil {
+		_ = level.Warn(g.logger).Log("msg", "planned stop cuts responses off", "err", err)
+	}
+}
+
 // leaveStore ends the lease, so that nobody waits for it to lapse.
 func (g *Gateway) leaveStore(ctx context.Context) {
 	lease := g.lease.Load()
