--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -41,6 +41,9 @@
 			sleep(ctx, renewalPause)
 			continue
 		}
+		if !g.storeReachable() {
+			_ = level.Info(g.logger).Log("msg", "store lease in force")
+		}
 		g.lastRenewal.Store(int64(sentAt))
 		g.health.Ready("starting")
 		g.control.push(ctx, ownership.LeaseRenewed{SentAt: sentAt})
@@ -85,7 +88,11 @@
 		g.control.push(ctx, ownership.LeaseExpired{})
 		return
 	}
-	_ = level.Warn(g.logger).Log("msg", "lease renewal failed", "err", err)
+	logger := level.Debug(g.logger)
+	if g.storeReachable() {
+		logger = level.Warn(g.logger)
+	}
+	_ = logger.Log("msg", "lease renewal failed", "err", err)
 }
 
 // storeReachable reports whether a renewal has succeeded recently.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -356,6 +356,16 @@
 	return refs
 }
 
+// handedOver counts a pool for its new owner before that gateway's next heartbeat does, so that the pools of a
+// stopping gateway spread.
+func (p *peers) handedOver(to structs.GatewayID, pool structs.PoolID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known := p.byID[to]; known != nil {
+		known.owned = append(slices.Clone(known.owned), structs.OwnedPool{Pool: pool})
+	}
+}
+
 // call sends a request on the link and waits for the reply. errNoOwner means that nothing was sent.
 func (o *outbound) call(ctx context.Context, f structs.Forward) (*structs.ForwardReply, error) {
 	replies := make(chan *structs.ForwardReply, 1)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -88,6 +88,7 @@
 	g.control.push(ctx, ownership.Release{Pool: r.pool, Successor: successor})
 	select {
 	case <-r.done:
+		g.peers.handedOver(successor.ID, r.pool)
 		_ = level.Info(g.logger).Log("msg", "pool handed over", "pool", r.pool, "to", successor, "jobs", len(jobs))
 		return true
 	case <-ctx.Done():
