--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -98,7 +98,10 @@
 	}
 }
 
-// fromKnown handles messages after the hello. Without one they are ignored.
+// errNoHello ends a link whose hello is missing, so that the other side dials again and says who it is.
+var errNoHello = errors.New("gateway: the link has begun without a hello")
+
+// fromKnown handles messages after the hello.
 func (h *linkHandler) fromKnown(l *link.Link, e structs.Envelope) error {
 	switch {
 	case h.agent != nil:
@@ -106,7 +109,7 @@
 	case h.peer.ID != "":
 		return h.fromPeer(l, e)
 	}
-	return nil
+	return errNoHello
 }
 
 func decoded[T any](e structs.Envelope, handle func(*T)) error {
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -17,6 +17,7 @@
 	"rosedrift.example/rosedrift/internal/auth"
 	"rosedrift.example/rosedrift/internal/configuration"
 	"rosedrift.example/rosedrift/internal/gateway"
+	"rosedrift.example/rosedrift/internal/link"
 	"rosedrift.example/rosedrift/internal/query"
 	"rosedrift.example/rosedrift/internal/standin"
 	"rosedrift.example/rosedrift/internal/structs"
@@ -56,6 +57,8 @@
 	Logger    log.Logger
 	// Metrics makes each gateway serve /metrics.
 	Metrics bool
+	// Faults makes the links of each gateway faulty on request, see Gateway.Fault.
+	Faults bool
 }
 
 func (o *Options) complete() {
@@ -82,6 +85,8 @@
 	// URL is the base of the caller and admin API, Links the address for agents and gateways.
 	URL   string
 	Links string
+	// Fault injects faults into the gateway's links. It is nil without Options.Faults.
+	Fault *link.Fault
 
 	kill    context.CancelFunc
 	done    chan struct{}
@@ -198,6 +203,10 @@
 		Store: s.Store, Listener: api, LinkListener: links, Logger: s.options.Logger, Auth: s.keys,
 		Admin: s.administration, Seed: s.options.Seed,
 	}
+	if s.options.Faults {
+		node.Fault = &link.Fault{}
+		options.LinkFault = node.Fault
+	}
 	if s.options.Metrics {
 		node.metrics = telemetry.NewMetrics("rosedrift", map[string]string{"gateway": string(options.Name)})
 		options.Metrics = node.metrics
