--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -81,6 +81,8 @@
 	// due is the deadline of a live job and the end of retention of a bodiless one.
 	due   time.Duration
 	timer int
+	// deferredUntil bounds the wait for a faster server, 0 if the job does not wait for one.
+	deferredUntil time.Duration
 
 	endedAt     time.Duration
 	answer      *structs.Answer
