--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -342,6 +342,10 @@
 	Pool  PoolID
 	Epoch Epoch
 	Jobs  []HandoffJob
+	// Part numbers the messages of one snapshot from 0; the last one has Last set. A snapshot can exceed the largest
+	// message of a link.
+	Part uint32
+	Last bool
 }
 
 // HandoffJob is one job of a handed-over pool.
