--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -48,9 +48,13 @@
 	changed chan struct{}
 }
 
+// receivedHandoff is the snapshot of a pool that this gateway is to take over.
 type receivedHandoff struct {
-	handoff *structs.Handoff
-	at      time.Duration
+	epoch structs.Epoch
+	jobs  []structs.HandoffJob
+	parts uint32
+	whole bool
+	at    time.Duration
 }
 
 func newControl(g *Gateway) *control {
@@ -162,13 +166,14 @@
 		return
 	}
 	c.poolsMu.Lock()
-	received, ok := c.handoffs[a.Pool]
+	received := c.handoffs[a.Pool]
 	delete(c.handoffs, a.Pool)
 	c.poolsMu.Unlock()
+	restore := received.whole && received.epoch+1 == a.Epoch
 	_ = level.Info(c.g.logger).Log("msg", "pool recovered", "pool", a.Pool, "epoch", a.Epoch,
-		"complete", a.Adopt.Complete, "doubt", a.Adopt.Doubt, "snapshot", ok)
-	if ok && received.handoff.Epoch+1 == a.Epoch {
-		r.send(dispatch.Restore{Jobs: received.handoff.Jobs, Collection: a.Adopt})
+		"complete", a.Adopt.Complete, "doubt", a.Adopt.Doubt, "snapshot", restore)
+	if restore {
+		r.send(dispatch.Restore{Jobs: received.jobs, Collection: a.Adopt})
 	} else {
 		r.send(a.Adopt)
 	}
@@ -234,8 +239,9 @@
 	return list
 }
 
-// keepHandoff stores a received snapshot until the pool is acquired.
-func (c *control) keepHandoff(h *structs.Handoff) {
+// keepHandoff stores a part of a received snapshot until the pool is acquired. It reports false for a part that does
+// not follow the one before.
+func (c *control) keepHandoff(h *structs.Handoff) bool {
 	c.poolsMu.Lock()
 	defer c.poolsMu.Unlock()
 	now := c.g.now()
@@ -244,7 +250,18 @@
 			delete(c.handoffs, pool)
 		}
 	}
-	c.handoffs[h.Pool] = receivedHandoff{handoff: h, at: now}
+	received := receivedHandoff{epoch: h.Epoch}
+	if h.Part > 0 {
+		received = c.handoffs[h.Pool]
+	}
+	if received.epoch != h.Epoch || received.parts != h.Part || received.whole {
+		return false
+	}
+	received.at, received.whole = now, h.Last
+	received.parts++
+	received.jobs = append(received.jobs, h.Jobs...)
+	c.handoffs[h.Pool] = received
+	return true
 }
 
 // mode returns the right to start tasks at this moment. The machine compares with the clock, so a process that was
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -186,9 +186,6 @@
 }
 
 func (h *linkHandler) handedOver(l *link.Link, m *structs.Handoff) {
-	accepted := !h.g.stopping.Load()
-	if accepted {
-		h.g.control.keepHandoff(m)
-	}
+	accepted := !h.g.stopping.Load() && h.g.control.keepHandoff(m)
 	_ = l.Send(link.Control, structs.TypeHandoffReply, &structs.HandoffReply{ID: m.ID, Accepted: accepted})
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -18,6 +18,8 @@
 	readinessPause = 200 * time.Millisecond
 	// handoffTimeout bounds the transfer of one pool's snapshot and the following change of the record.
 	handoffTimeout = 5 * time.Second
+	// handoffPartBytes is the size of payloads and results in one part of a snapshot, unless one job is larger.
+	handoffPartBytes = 8 << 20
 	// stopPoll is the interval of checks during a stop.
 	stopPoll = 20 * time.Millisecond
 	// lingerPause lets the last replies to other gateways leave before links close.
@@ -80,8 +82,7 @@
 	if !ok {
 		return isClosed(r.done)
 	}
-	handoff := &structs.Handoff{Pool: r.pool, Epoch: r.epoch, Jobs: jobs}
-	if !out.handoff(ctx, handoff) {
+	if !sendSnapshot(ctx, out, r, jobs) {
 		r.send(call(func(r *runner) { r.frozen = false }))
 		return false
 	}
@@ -97,6 +98,46 @@
 	}
 }
 
+// sendSnapshot sends a snapshot in parts and reports whether the successor has all of it.
+func sendSnapshot(ctx context.Context, out *outbound, r *runner, jobs []structs.HandoffJob) bool {
+	for part := uint32(0); ; part++ {
+		n := partLength(jobs)
+		handoff := &structs.Handoff{Pool: r.pool, Epoch: r.epoch, Jobs: jobs[:n], Part: part, Last: n == len(jobs)}
+		if !out.handoff(ctx, handoff) {
+			return false
+		}
+		if jobs = jobs[n:]; len(jobs) == 0 {
+			return true
+		}
+	}
+}
+
+// partLength returns how many of the jobs go into the next part.
+func partLength(jobs []structs.HandoffJob) int {
+	size := 0
+	for i := range jobs {
+		size += jobBytes(&jobs[i])
+		if size > handoffPartBytes && i > 0 {
+			return i
+		}
+	}
+	return len(jobs)
+}
+
+func jobBytes(j *structs.HandoffJob) int {
+	size := 0
+	lists := [][][]byte{j.Submission.Payloads, j.Results}
+	if j.Answer != nil {
+		lists = append(lists, j.Answer.Results)
+	}
+	for _, list := range lists {
+		for _, item := range list {
+			size += len(item)
+		}
+	}
+	return size
+}
+
 func isClosed(c <-chan struct{}) bool {
 	select {
 	case <-c:
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,25 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// TestPartLength guards against parts above the largest message of a link and against a snapshot that never ends
+// because one job alone is larger than a part.
+func TestPartLength(t *testing.T) {
+	small := structs.HandoffJob{Results: [][]byte{make([]byte, handoffPartBytes/4)}}
+	large := structs.HandoffJob{Results: [][]byte{make([]byte, 2*handoffPartBytes)}}
+	jobs := []structs.HandoffJob{small, small, small, small, small, large, small}
+	var lengths []int
+	for len(jobs) > 0 {
+		n := partLength(jobs)
+		lengths = append(lengths, n)
+		jobs = jobs[n:]
+	}
+	require.Equal(t, []int{4, 1, 1, 1}, lengths)
+	require.Zero(t, partLength(nil))
+}
