--- /dev/null
+++ b/internal/bench/cluster.go
@@ -0,0 +1,347 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"rosedrift.example/rosedrift/internal/standin"
+)
+
+// Cluster is a set of real rosedrift processes on loopback with stand-ins of the store and of backend servers.
+type Cluster struct {
+	profile Profile
+	dir     string
+	started time.Time
+
+	Store    *Process
+	storeURL string
+	Gateways []*GatewayNode
+	Agents   []*AgentNode
+
+	client *http.Client
+}
+
+// GatewayNode is a gateway process with the relays on its ways.
+type GatewayNode struct {
+	*Process
+	// Addr is the address of the caller and admin API.
+	Addr string
+	// Links lies between the gateway and the agents and gateways that dial it.
+	Links *Relay
+	// Store lies between the gateway and the store.
+	Store *Relay
+}
+
+// AgentNode is an agent process with its backend server stand-in, which lives in the bench process.
+type AgentNode struct {
+	*Process
+	Addr    string
+	Backend *standin.Backend
+	cancel  context.CancelFunc
+}
+
+// Timing of the cluster's start.
+const (
+	startLimit   = 20 * time.Second
+	pollInterval = 50 * time.Millisecond
+)
+
+// NewCluster builds the programs, starts every process and waits until all backend servers are ready for work.
+func NewCluster(ctx context.Context, dir string, p Profile, policy string) (*Cluster, error) {
+	c := &Cluster{profile: p, dir: dir, client: &http.Client{Timeout: 10 * time.Second}}
+	if err := build(dir, "rosedrift-standin", "rosedrift-gateway", "rosedrift-agent"); err != nil {
+		return nil, err
+	}
+	for _, step := range []func() error{
+		c.startStore,
+		func() error { return c.startGateways(policy) },
+		func() error { return c.createService(ctx) },
+		func() error { return c.startAgents(ctx) },
+		func() error { return c.waitReady(ctx) },
+	} {
+		if err := step(); err != nil {
+			c.Close()
+			return nil, fmt.Errorf("start of the cluster (logs in %s): %w", dir, err)
+		}
+	}
+	c.started = time.Now()
+	return c, nil
+}
+
+func (c *Cluster) startStore() error {
+	addr, err := freeAddr()
+	if err != nil {
+		return err
+	}
+	c.storeURL = "http://" + addr
+	c.Store, err = newProcess(c.dir, "rosedrift-standin", "store", "store", "--listen", addr)
+	if err != nil {
+		return err
+	}
+	if err := c.Store.Start(); err != nil {
+		return err
+	}
+	return waitHTTP(c.client, c.storeURL+"/stats")
+}
+
+func (c *Cluster) startGateways(policy string) error {
+	for i := range c.profile.Gateways {
+		node, err := c.newGateway(i, policy)
+		if err != nil {
+			return err
+		}
+		c.Gateways = append(c.Gateways, node)
+		if err := node.Start(); err != nil {
+			return err
+		}
+	}
+	for _, node := range c.Gateways {
+		if err := waitHTTP(c.client, "http://"+node.Addr+"/healthz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) newGateway(i int, policy string) (*GatewayNode, error) {
+	addr, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	linkAddr, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	links, err := NewRelay(linkAddr, c.profile.ZoneDelay)
+	if err != nil {
+		return nil, err
+	}
+	store, err := NewRelay(c.storeURL[len("http://"):], c.profile.ZoneDelay)
+	if err != nil {
+		return nil, err
+	}
+	name := fmt.Sprintf("g%d", i+1)
+	process, err := newProcess(c.dir, "rosedrift-gateway", name,
+		"--name", name, "--zone", c.profile.Zone(i), "--listen", addr, "--link-listen", linkAddr,
+		"--advertise", links.Addr(), "--store", "http://"+store.Addr(), "--policy", policy)
+	if err != nil {
+		return nil, err
+	}
+	return &GatewayNode{Process: process, Addr: addr, Links: links, Store: store}, nil
+}
+
+// createService creates the service and its teams by operators' commands.
+func (c *Cluster) createService(ctx context.Context) error {
+	limit := time.Now().Add(startLimit)
+	command := fmt.Sprintf("service %s create pools %d", c.profile.Service, c.profile.Pools)
+	for {
+		_, err := c.Command(ctx, 0, command)
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(limit) {
+			return err
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func (c *Cluster) startAgents(ctx context.Context) error {
+	for i := range c.profile.Instances {
+		node, err := c.newAgent(ctx, i)
+		if err != nil {
+			return err
+		}
+		c.Agents = append(c.Agents, node)
+		if err := node.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) gatewayLinks() string {
+	var list bytes.Buffer
+	for i, node := range c.Gateways {
+		if i > 0 {
+			list.WriteByte(',')
+		}
+		list.WriteString(node.Links.Addr())
+	}
+	return list.String()
+}
+
+// Command executes an operator's command through a gateway and returns the reply. An error status is an error.
+func (c *Cluster) Command(ctx context.Context, gateway int, command string) (commandReply, error) {
+	var reply commandReply
+	body, err := json.Marshal(map[string]any{"command": command})
+	if err != nil {
+		return reply, err
+	}
+	node := c.Gateways[gateway%len(c.Gateways)]
+	url := "http://" + node.Addr + "/v1/admin/commands"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return reply, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.client.Do(request)
+	if err != nil {
+		return reply, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return reply, err
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return reply, fmt.Errorf("command %q: status %d: %s", command, response.StatusCode, raw)
+	}
+	return reply, json.Unmarshal(raw, &reply)
+}
+
+// commandReply holds the fields of a command's result that the bench reads.
+type commandReply struct {
+	Revision uint64 `json:"revision"`
+	Data     any    `json:"data"`
+	InForce  *struct {
+		InForce bool `json:"in_force"`
+	} `json:"in_force"`
+}
+
+// waitReady waits until the owners dispatch to every backend server.
+func (c *Cluster) waitReady(ctx context.Context) error {
+	limit := time.Now().Add(startLimit)
+	for {
+		eligible, err := c.eligibleServers(ctx)
+		if err == nil && eligible == c.profile.Instances {
+			return nil
+		}
+		if time.Now().After(limit) {
+			return fmt.Errorf("%d of %d backend servers ready: %w", eligible, c.profile.Instances, err)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func (c *Cluster) eligibleServers(ctx context.Context) (int, error) {
+	reply, err := c.Command(ctx, 0, "servers")
+	if err != nil {
+		return 0, err
+	}
+	rows, ok := reply.Data.([]any)
+	if !ok {
+		return 0, errors.New("the servers query has no data")
+	}
+	eligible := 0
+	for _, row := range rows {
+		info, _ := row.(map[string]any)
+		status, _ := info["status"].(map[string]any)
+		if status["Eligible"] == true {
+			eligible++
+		}
+	}
+	return eligible, nil
+}
+
+// StoreFaults sets the faults of the store stand-in.
+func (c *Cluster) StoreFaults(faults any) error { return postJSON(c.client, c.storeURL+"/faults", faults) }
+
+// Close kills every process and removes nothing, so that the logs stay for a look.
+func (c *Cluster) Close() {
+	var wait sync.WaitGroup
+	for _, process := range c.processes() {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			process.Thaw()
+			process.Kill()
+			_ = process.log.Close()
+		}()
+	}
+	wait.Wait()
+	for _, node := range c.Agents {
+		node.cancel()
+	}
+	for _, node := range c.Gateways {
+		node.Links.Close()
+		node.Store.Close()
+	}
+}
+
+func (c *Cluster) processes() []*Process {
+	var all []*Process
+	for _, node := range c.Agents {
+		all = append(all, node.Process)
+	}
+	for _, node := range c.Gateways {
+		all = append(all, node.Process)
+	}
+	if c.Store != nil {
+		all = append(all, c.Store)
+	}
+	return all
+}
+
+func postJSON(client *http.Client, url string, body any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	response, err := client.Post(url, "application/json", bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("%s: status %d", url, response.StatusCode)
+	}
+	return nil
+}
+
+func waitHTTP(client *http.Client, url string) error {
+	limit := time.Now().Add(startLimit)
+	for {
+		response, err := client.Get(url)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode < http.StatusInternalServerError {
+				return nil
+			}
+			err = fmt.Errorf("status %d", response.StatusCode)
+		}
+		if time.Now().After(limit) {
+			return fmt.Errorf("%s: %w", url, err)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// freeAddr returns a loopback address that was free a moment ago.
+func freeAddr() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+// tempDir returns a directory for programs and logs.
+func tempDir() (string, error) {
+	dir, err := os.MkdirTemp("", "rosedrift-bench-")
+	if err != nil {
+		return "", err
+	}
+	return filepath.Clean(dir), nil
+}
