--- /dev/null
+++ b/cmd/rosedrift-bench/main.go
@@ -0,0 +1,117 @@
+// Command rosedrift-bench runs load and failure scenarios against real rosedrift processes on loopback. It prints
+// one JSON object as its last line and exits non-zero if a promise was broken.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"rosedrift.example/rosedrift/internal/bench"
+)
+
+type options struct {
+	List     bool          `arg:"--list" help:"list the scenarios and exit"`
+	Scenario string        `arg:"--scenario,env:ROSEDRIFT_BENCH_SCENARIO" default:"steady" help:"scenario to run"`
+	Profile  string        `arg:"--profile" default:"teglie" help:"teglie, ardoise or plan"`
+	Policy   string        `arg:"--policy" default:"rosedrift" help:"rosedrift, random or fifo"`
+	Seed     uint64        `arg:"--seed" default:"1" help:"seed of arrivals and failures"`
+	Duration time.Duration `arg:"--duration" default:"30s" help:"time over which jobs arrive (5s to 2h)"`
+	JSON     bool          `arg:"--json" help:"print nothing but the JSON object"`
+	Report   string        `arg:"--report" help:"directory for an HTML report"`
+	Dir      string        `arg:"--dir" help:"directory for programs and logs; default: a temporary one"`
+	// The size of the profile can be overridden to measure slopes.
+	Instances int `arg:"--instances" help:"number of backend servers, 0 for the profile's"`
+	Gateways  int `arg:"--gateways" help:"number of gateways, 0 for the profile's"`
+	Pools     int `arg:"--pools" help:"number of pools, 0 for the profile's"`
+}
+
+// Exit codes.
+const (
+	exitBroken = 1
+	exitUsage  = 2
+)
+
+func main() {
+	var o options
+	arg.MustParse(&o)
+	if o.List {
+		list()
+		return
+	}
+	config, err := o.config()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rosedrift-bench:", err)
+		os.Exit(exitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	result, err := bench.Run(ctx, config)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rosedrift-bench:", err)
+		os.Exit(exitUsage)
+	}
+	if err := print(result, o); err != nil {
+		fmt.Fprintln(os.Stderr, "rosedrift-bench:", err)
+		os.Exit(exitUsage)
+	}
+	if len(result.Broken) > 0 {
+		os.Exit(exitBroken)
+	}
+}
+
+func list() {
+	for _, s := range bench.Scenarios() {
+		fmt.Printf("%-18s %s\n", s.Name, s.Summary)
+	}
+}
+
+func (o *options) config() (bench.Config, error) {
+	scenario, ok := bench.ScenarioByName(o.Scenario)
+	if !ok {
+		return bench.Config{}, fmt.Errorf("unknown scenario %q: see --list", o.Scenario)
+	}
+	profile, err := bench.ProfileByName(o.Profile)
+	if err != nil {
+		return bench.Config{}, err
+	}
+	if o.Duration < 5*time.Second || o.Duration > 2*time.Hour {
+		return bench.Config{}, errors.New("--duration must be from 5s to 2h")
+	}
+	for target, value := range map[*int]int{
+		&profile.Instances: o.Instances, &profile.Gateways: o.Gateways, &profile.Pools: o.Pools,
+	} {
+		if value > 0 {
+			*target = value
+		}
+	}
+	return bench.Config{
+		Scenario: scenario, Profile: profile, Policy: o.Policy, Seed: o.Seed, Duration: o.Duration, Dir: o.Dir,
+	}, nil
+}
+
+func print(result *bench.Result, o options) error {
+	if o.Report != "" {
+		if err := bench.WriteReport(o.Report, result); err != nil {
+			return err
+		}
+	}
+	if !o.JSON {
+		for _, text := range result.Broken {
+			fmt.Println("broken:", text)
+		}
+	}
+	raw, err := json.Marshal(result)
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(raw))
+	return nil
+}
--- a/internal/bench/check.go
+++ b/internal/bench/check.go
@@ -48,6 +48,8 @@
 	configReverts int
 	inForce       []time.Duration
 	slotsExceeded int
+	// faults lists steps of the script that could not be carried out.
+	faults []string
 	duration      time.Duration
 	// measured is the window of ratios and rates; it leaves the warm-up out.
 	measured window
@@ -269,6 +271,9 @@
 	if r.ConfigInForceMaxS > inForceLimit.Seconds() {
 		broken = append(broken, fmt.Sprintf("configuration in force after %.2f s", r.ConfigInForceMaxS))
 	}
+	for _, fault := range o.faults {
+		broken = append(broken, "the run itself: "+fault)
+	}
 	if r.TasksStarted == 0 {
 		broken = append(broken, "no task started: the run shows nothing")
 	}
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -29,6 +29,8 @@
 	Agents   []*AgentNode
 
 	client *http.Client
+	// log receives the steps of the script.
+	log *os.File
 }
 
 // GatewayNode is a gateway process with the relays on its ways.
@@ -47,7 +49,6 @@
 	*Process
 	Addr    string
 	Backend *standin.Backend
-	cancel  context.CancelFunc
 }
 
 // Timing of the cluster's start.
@@ -66,7 +67,7 @@
 		c.startStore,
 		func() error { return c.startGateways(policy) },
 		func() error { return c.createService(ctx) },
-		func() error { return c.startAgents(ctx) },
+		c.startAgents,
 		func() error { return c.waitReady(ctx) },
 	} {
 		if err := step(); err != nil {
@@ -156,9 +157,9 @@
 	}
 }
 
-func (c *Cluster) startAgents(ctx context.Context) error {
+func (c *Cluster) startAgents() error {
 	for i := range c.profile.Instances {
-		node, err := c.newAgent(ctx, i)
+		node, err := c.newAgent(i)
 		if err != nil {
 			return err
 		}
@@ -170,6 +171,30 @@
 	return nil
 }
 
+func agentName(instance int) string { return fmt.Sprintf("server-%d", instance) }
+
+func (c *Cluster) newAgent(i int) (*AgentNode, error) {
+	addr, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	name := agentName(i)
+	process, err := newProcess(c.dir, "rosedrift-agent", name,
+		"--id", name, "--zone", c.profile.Zone(i), "--listen", addr, "--gateways", c.gatewayLinks())
+	if err != nil {
+		return nil, err
+	}
+	backend, err := standin.NewBackend(standin.BackendOptions{
+		Name: name, Service: c.profile.Service, Address: "127.0.0.1:0", Agent: addr,
+		Slots: c.profile.Slots, Connections: c.profile.Connections,
+		Faults: standin.BackendFaults{Slowness: c.profile.Slowdown(i)}, Seed: uint64(i),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &AgentNode{Process: process, Addr: addr, Backend: backend}, nil
+}
+
 func (c *Cluster) gatewayLinks() string {
 	var list bytes.Buffer
 	for i, node := range c.Gateways {
@@ -271,7 +296,7 @@
 	}
 	wait.Wait()
 	for _, node := range c.Agents {
-		node.cancel()
+		_ = node.Backend.Close()
 	}
 	for _, node := range c.Gateways {
 		node.Links.Close()
--- a/internal/bench/process.go
+++ b/internal/bench/process.go
@@ -168,3 +168,13 @@
 	system, _ := strconv.ParseInt(fields[12], 10, 64)
 	return time.Duration(user+system) * clockTick
 }
+
+// Pid returns the process id, 0 if the process does not run.
+func (p *Process) Pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return 0
+	}
+	return p.command.Process.Pid
+}
--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,241 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"rosedrift.example/rosedrift/internal/standin"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Config selects a run.
+type Config struct {
+	Scenario Scenario
+	Profile  Profile
+	Policy   string
+	Seed     uint64
+	Duration time.Duration
+	// Dir receives programs and logs; empty means a new temporary directory.
+	Dir string
+}
+
+// drainLimit is how long after the last arrival a run waits for answers.
+const drainLimit = 6 * time.Minute
+
+// warmUp is the share of the duration that ratios and rates leave out.
+const warmUp = 0.15
+
+// Run executes a scenario on real processes and returns what it counted. An error means that the run itself could
+// not be carried out.
+func Run(ctx context.Context, config Config) (*Result, error) {
+	if config.Dir == "" {
+		dir, err := tempDir()
+		if err != nil {
+			return nil, err
+		}
+		config.Dir = dir
+	}
+	if config.Scenario.Direct {
+		config.Profile.ZoneDelay, config.Profile.ClientDelay = 0, 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, config.Duration+drainLimit+time.Minute)
+	defer cancel()
+	cluster, err := NewCluster(ctx, config.Dir, config.Profile, config.Policy)
+	if err != nil {
+		return nil, err
+	}
+	defer cluster.Close()
+	return execute(ctx, config, cluster)
+}
+
+func execute(ctx context.Context, config Config, cluster *Cluster) (*Result, error) {
+	log, err := os.Create(filepath.Join(config.Dir, "script.log"))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = log.Close() }()
+	cluster.log = log
+	load := config.Scenario.Load(config.Duration)
+	jobs := Generate(config.Profile, load, config.Seed)
+	scriptCtx, stopScript := context.WithCancel(ctx)
+	defer stopScript()
+	r := &run{ctx: scriptCtx, cluster: cluster, duration: config.Duration}
+	r.rng = rand.New(rand.NewPCG(config.Seed, 0x6661756c74))
+	r.observation = observation{
+		profile: config.Profile, zoneOut: map[string][]window{}, leaving: map[int][]window{},
+		plannedStops: config.Scenario.PlannedStops, duration: config.Duration,
+		measured: window{from: time.Duration(warmUp * float64(config.Duration)), to: config.Duration},
+	}
+	before := cluster.sample()
+	scripted := make(chan struct{})
+	go r.script(config.Scenario.Script, scripted)
+	middle := make(chan sample, 1)
+	go func() { middle <- cluster.sampleAt(ctx, config.Duration) }()
+	callers := newCallers(config.Profile, cluster.gatewayAddrs())
+	callers.started, callers.resubmitAll = cluster.started, config.Scenario.ResubmitAll
+	verdicts := callers.run(ctx, jobs)
+	<-scripted
+	stopScript()
+	return r.result(config, load, jobs, verdicts, before, <-middle)
+}
+
+func (r *run) script(script func(*run), done chan<- struct{}) {
+	defer close(done)
+	go r.watchRevisions()
+	if script != nil {
+		script(r)
+	}
+}
+
+func (r *run) result(
+	config Config, load Load, jobs []Job, verdicts []verdict, before, after sample,
+) (*Result, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := &r.observation
+	o.verdicts = verdicts
+	o.starts = r.cluster.starts(jobs)
+	o.slotsExceeded = r.cluster.slotsExceeded()
+	result := &Result{
+		Scenario: config.Scenario.Name, Profile: config.Profile.Name, Policy: config.Policy, Seed: config.Seed,
+		Notes: []string{fmt.Sprintf("logs in %s", config.Dir)},
+	}
+	o.evaluate(result)
+	usageOf(result, before, after, r.cluster)
+	if load.Utilization < 1 {
+		result.Notes = append(result.Notes, "goodput_ratio is bounded by the offered load")
+	}
+	return result, nil
+}
+
+func (c *Cluster) gatewayAddrs() []string {
+	var addrs []string
+	for _, node := range c.Gateways {
+		addrs = append(addrs, node.Addr)
+	}
+	return addrs
+}
+
+// starts collects the start records of all backend server stand-ins and joins them with the jobs' run times.
+func (c *Cluster) starts(jobs []Job) []start {
+	byID := make(map[string]*Job, len(jobs))
+	for i := range jobs {
+		key := structs.HashKey(jobs[i].Team, jobs[i].Key)
+		pool := structs.PoolOfKey(c.profile.Service, uint16(c.profile.Pools), key)
+		byID[structs.JobID{Pool: pool, Key: key}.String()] = &jobs[i]
+	}
+	var all []start
+	for server, node := range c.Agents {
+		for _, record := range node.Backend.Starts(0) {
+			all = append(all, c.joinStart(server, record, byID))
+		}
+	}
+	return all
+}
+
+func (c *Cluster) joinStart(server int, record standin.BackendStart, byID map[string]*Job) start {
+	index, err := strconv.Atoi(record.Task)
+	if err != nil {
+		index = -1
+	}
+	s := start{server: server, job: record.Job, task: index, at: record.Time.Sub(c.started)}
+	if job := byID[record.Job]; job != nil && index >= 0 && index < len(job.RunTimes) {
+		s.work = job.RunTimes[index]
+	}
+	return s
+}
+
+func (c *Cluster) slotsExceeded() int {
+	total := 0
+	for _, node := range c.Agents {
+		stats := node.Backend.Stats()
+		total += int(stats.SlotViolations + stats.ConnectionOverruns)
+	}
+	return total
+}
+
+// sample is the resource use at one moment.
+type sample struct {
+	at       time.Time
+	agents   []usage
+	gateways []usage
+	store    standin.StoreStats
+	messages float64
+	bytes    float64
+}
+
+func (c *Cluster) sampleAt(ctx context.Context, at time.Duration) sample {
+	sleepUntil(ctx, c.started.Add(at))
+	return c.sample()
+}
+
+func (c *Cluster) sample() sample {
+	s := sample{at: time.Now()}
+	for _, node := range c.Agents {
+		s.agents = append(s.agents, node.Usage())
+	}
+	for _, node := range c.Gateways {
+		s.gateways = append(s.gateways, node.Usage())
+	}
+	response, err := c.client.Get(c.storeURL + "/stats")
+	if err != nil {
+		return s
+	}
+	defer func() { _ = response.Body.Close() }()
+	_ = json.NewDecoder(response.Body).Decode(&s.store)
+	return s
+}
+
+// usageOf computes rates between two samples.
+func usageOf(r *Result, before, after sample, c *Cluster) {
+	seconds := after.at.Sub(before.at).Seconds()
+	r.AgentCPUPercent, r.AgentRSSMB = meanUsage(before.agents, after.agents, seconds)
+	r.GatewayCPUPercent, r.GatewayRSSMB = meanUsage(before.gateways, after.gateways, seconds)
+	writes, reads := 0.0, 0.0
+	for kind, count := range after.store.Calls {
+		delta := float64(count - before.store.Calls[kind])
+		switch kind {
+		case "get", "list", "watch":
+			reads += delta
+		default:
+			writes += delta
+		}
+	}
+	r.StoreWritesPerS, r.StoreReadsPerS = writes/seconds, reads/seconds
+	_ = c
+}
+
+func meanUsage(before, after []usage, seconds float64) (cpuPercent, rssMB float64) {
+	for i := range after {
+		cpuPercent += (after[i].cpu - before[i].cpu).Seconds() / seconds * 100 / float64(len(after))
+		rssMB = max(rssMB, after[i].rssMB)
+	}
+	return cpuPercent, rssMB
+}
+
+// InForce reports whether a gateway says that a revision is in force everywhere.
+func (c *Cluster) InForce(ctx context.Context, gateway int, revision uint64) bool {
+	node := c.Gateways[gateway%len(c.Gateways)]
+	url := fmt.Sprintf("http://%s/v1/admin/in-force?revision=%d", node.Addr, revision)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	var status struct {
+		InForce bool `json:"in_force"`
+	}
+	err = json.NewDecoder(response.Body).Decode(&status)
+	return err == nil && status.InForce
+}
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -21,7 +21,7 @@
 	ResubmitAll bool
 	// PlannedStops makes every cut request a broken promise.
 	PlannedStops bool
-	// ZoneFree drops the zone delay, for throughput.
+	// Direct leaves the delays of zones and callers out, for throughput.
 	Direct bool
 }
 
