--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -203,8 +203,7 @@
 
 // transient reports whether a refusal names a state of one gateway, so that another gateway is worth a try.
 func transient(status int, code structs.Code) bool {
-	switch code {
-	case structs.CodeUnavailable, structs.CodeStopping, structs.CodeOwnerLost:
+	if code == structs.CodeUnavailable || code == structs.CodeStopping || code == structs.CodeOwnerLost {
 		return true
 	}
 	return status == http.StatusBadGateway || status == http.StatusGatewayTimeout
--- a/internal/bench/check.go
+++ b/internal/bench/check.go
@@ -49,8 +49,8 @@
 	inForce       []time.Duration
 	slotsExceeded int
 	// faults lists steps of the script that could not be carried out.
-	faults []string
-	duration      time.Duration
+	faults   []string
+	duration time.Duration
 	// measured is the window of ratios and rates; it leaves the warm-up out.
 	measured window
 }
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -280,7 +280,9 @@
 }
 
 // StoreFaults sets the faults of the store stand-in.
-func (c *Cluster) StoreFaults(faults any) error { return postJSON(c.client, c.storeURL+"/faults", faults) }
+func (c *Cluster) StoreFaults(faults any) error {
+	return postJSON(c.client, c.storeURL+"/faults", faults)
+}
 
 // Close kills every process and removes nothing, so that the logs stay for a look.
 func (c *Cluster) Close() {
@@ -296,7 +298,7 @@
 	}
 	wait.Wait()
 	for _, node := range c.Agents {
-		_ = node.Backend.Close()
+		_ = node.Backend.Close(context.Background())
 	}
 	for _, node := range c.Gateways {
 		node.Links.Close()
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -28,7 +28,8 @@
 
 // note records a step of the script in the run's log.
 func (r *run) note(format string, args ...any) {
-	fmt.Fprintf(r.cluster.log, "%8.3f %s\n", r.since().Seconds(), fmt.Sprintf(format, args...))
+	line := fmt.Sprintf("%8.3f ", r.since().Seconds()) + fmt.Sprintf(format, args...) + "\n"
+	_, _ = r.cluster.log.WriteString(line)
 }
 
 // crash kills a process and starts it again after a pause.
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -108,7 +108,7 @@
 		Notes: []string{fmt.Sprintf("logs in %s", config.Dir)},
 	}
 	o.evaluate(result)
-	usageOf(result, before, after, r.cluster)
+	usageOf(result, before, after)
 	if load.Utilization < 1 {
 		result.Notes = append(result.Notes, "goodput_ratio is bounded by the offered load")
 	}
@@ -167,8 +167,6 @@
 	agents   []usage
 	gateways []usage
 	store    standin.StoreStats
-	messages float64
-	bytes    float64
 }
 
 func (c *Cluster) sampleAt(ctx context.Context, at time.Duration) sample {
@@ -194,7 +192,7 @@
 }
 
 // usageOf computes rates between two samples.
-func usageOf(r *Result, before, after sample, c *Cluster) {
+func usageOf(r *Result, before, after sample) {
 	seconds := after.at.Sub(before.at).Seconds()
 	r.AgentCPUPercent, r.AgentRSSMB = meanUsage(before.agents, after.agents, seconds)
 	r.GatewayCPUPercent, r.GatewayRSSMB = meanUsage(before.gateways, after.gateways, seconds)
@@ -209,7 +207,6 @@
 		}
 	}
 	r.StoreWritesPerS, r.StoreReadsPerS = writes/seconds, reads/seconds
-	_ = c
 }
 
 func meanUsage(before, after []usage, seconds float64) (cpuPercent, rssMB float64) {
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -108,10 +108,9 @@
 
 func (r *run) since() time.Duration { return time.Since(r.cluster.started) }
 
-// sleepTo sleeps until a share of the duration has passed and reports whether the run goes on.
-func (r *run) sleepTo(share float64) bool {
-	at := r.cluster.started.Add(time.Duration(share * float64(r.duration)))
-	return sleepUntil(r.ctx, at)
+// sleepTo sleeps until a share of the duration has passed.
+func (r *run) sleepTo(share float64) {
+	sleepUntil(r.ctx, r.cluster.started.Add(time.Duration(share*float64(r.duration))))
 }
 
 // pause sleeps for the time.
