--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -132,9 +132,14 @@
 		return nil, err
 	}
 	name := fmt.Sprintf("g%d", i+1)
-	process, err := newProcess(c.dir, "rosedrift-gateway", name,
+	args := []string{
 		"--name", name, "--zone", c.profile.Zone(i), "--listen", addr, "--link-listen", linkAddr,
-		"--advertise", links.Addr(), "--store", "http://"+store.Addr(), "--policy", policy)
+		"--advertise", links.Addr(), "--store", "http://" + store.Addr(),
+	}
+	if policy != "rosedrift" {
+		args = append(args, "--policy", policy)
+	}
+	process, err := newProcess(c.dir, "rosedrift-gateway", name, args...)
 	if err != nil {
 		return nil, err
 	}
@@ -179,8 +184,11 @@
 		return nil, err
 	}
 	name := agentName(i)
-	process, err := newProcess(c.dir, "rosedrift-agent", name,
-		"--id", name, "--zone", c.profile.Zone(i), "--listen", addr, "--gateways", c.gatewayLinks())
+	args := []string{"--name", name, "--zone", c.profile.Zone(i), "--listen", addr, "--gateways"}
+	for _, gateway := range c.Gateways {
+		args = append(args, gateway.Links.Addr())
+	}
+	process, err := newProcess(c.dir, "rosedrift-agent", name, args...)
 	if err != nil {
 		return nil, err
 	}
@@ -195,17 +203,6 @@
 	return &AgentNode{Process: process, Addr: addr, Backend: backend}, nil
 }
 
-func (c *Cluster) gatewayLinks() string {
-	var list bytes.Buffer
-	for i, node := range c.Gateways {
-		if i > 0 {
-			list.WriteByte(',')
-		}
-		list.WriteString(node.Links.Addr())
-	}
-	return list.String()
-}
-
 // Command executes an operator's command through a gateway and returns the reply. An error status is an error.
 func (c *Cluster) Command(ctx context.Context, gateway int, command string) (commandReply, error) {
 	var reply commandReply
@@ -271,8 +268,7 @@
 	eligible := 0
 	for _, row := range rows {
 		info, _ := row.(map[string]any)
-		status, _ := info["status"].(map[string]any)
-		if status["Eligible"] == true {
+		if info["state"] == "active" {
 			eligible++
 		}
 	}
