--- a/internal/ownership/api.go
+++ b/internal/ownership/api.go
@@ -133,6 +133,8 @@
 	Pool    structs.PoolID
 	Epoch   structs.Epoch
 	Entries []dispatch.JournalEntry
+	// RecentOnce is handed on to dispatch.Adopt.
+	RecentOnce []structs.KeyHash
 }
 
 // BacklogWritten reports that every key admitted while detached is now in the journal. The shell reports it after
