--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,244 @@
+package journal
+
+import (
+	"context"
+	"encoding/binary"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"rosedrift.example/rosedrift/internal/dispatch"
+	"rosedrift.example/rosedrift/internal/standin"
+	"rosedrift.example/rosedrift/internal/store"
+	"rosedrift.example/rosedrift/internal/structs"
+	_ "rosedrift.example/rosedrift/internal/testseed"
+)
+
+var testPool = structs.PoolID{Service: "lending", Index: 3}
+
+func testEntry(n int, repeatable bool) dispatch.JournalEntry {
+	entry := dispatch.JournalEntry{Tasks: uint32(n), Repeatable: repeatable}
+	binary.BigEndian.PutUint64(entry.Key[:], uint64(n))
+	return entry
+}
+
+func testEntries(from, to int, repeatable bool) []dispatch.JournalEntry {
+	var entries []dispatch.JournalEntry
+	for n := from; n < to; n++ {
+		entries = append(entries, testEntry(n, repeatable))
+	}
+	return entries
+}
+
+// confirmations collects the confirmed keys.
+type confirmations struct {
+	mu   sync.Mutex
+	keys map[structs.KeyHash]int
+}
+
+func (c *confirmations) add(keys []structs.KeyHash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, key := range keys {
+		c.keys[key]++
+	}
+}
+
+func (c *confirmations) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.keys)
+}
+
+// runJournal starts a journal, which stops with the test.
+func runJournal(t *testing.T, st store.Store, epoch structs.Epoch) (*Journal, *confirmations) {
+	c := &confirmations{keys: map[structs.KeyHash]int{}}
+	j := New(Options{Store: st, Pool: testPool, Epoch: epoch, Budget: NewBudget(), Confirmed: c.add})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- j.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return j, c
+}
+
+func read(t require.TestingT, st store.Store) map[structs.KeyHash]dispatch.JournalEntry {
+	contents, err := Read(context.Background(), st, testPool, 99)
+	require.NoError(t, err)
+	found := map[structs.KeyHash]dispatch.JournalEntry{}
+	for _, entry := range contents.Entries {
+		_, twice := found[entry.Key]
+		require.False(t, twice)
+		found[entry.Key] = entry
+	}
+	return found
+}
+
+// TestJournalGroupCommit guards against a write per key, more than the budget, and keys lost between pages and epochs.
+func TestJournalGroupCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stand := standin.NewStore(1)
+		defer stand.Close()
+		stand.SetFaults(standin.StoreFaults{SlowMilliseconds: 5})
+		total := 0
+		for epoch := structs.Epoch(1); epoch <= 3; epoch++ {
+			j, confirmed := runJournal(t, stand, epoch)
+			for range 1000 {
+				require.NoError(t, j.Append(testEntries(total, total+5, true)))
+				total += 5
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(time.Second)
+			require.Equal(t, 5000, confirmed.count())
+			require.True(t, j.Idle())
+			// One second of load, its first write at once, and the rest.
+			require.LessOrEqual(t, j.Stats().Writes, uint64(FleetWritesPerSecond+2))
+		}
+		require.Len(t, read(t, stand), total)
+	})
+}
+
+// TestJournalImmediateWhenIdle guards against a fixed delay before the first start of a job on an idle system.
+func TestJournalImmediateWhenIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stand := standin.NewStore(1)
+		defer stand.Close()
+		j, confirmed := runJournal(t, stand, 1)
+		require.NoError(t, j.Append(testEntries(0, 1, true)))
+		time.Sleep(time.Second)
+		require.NoError(t, j.Append(testEntries(1, 2, true)))
+		synctest.Wait()
+		require.Equal(t, 2, confirmed.count())
+	})
+}
+
+// TestJournalOutage guards against an unbounded backlog, keys that are never written after an outage, and Idle in spite
+// of refused keys.
+func TestJournalOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stand := standin.NewStore(1)
+		defer stand.Close()
+		stand.SetFaults(standin.StoreFaults{Outage: true})
+		j, confirmed := runJournal(t, stand, 1)
+		require.NoError(t, j.Append(testEntries(0, 30_000, true)))
+		time.Sleep(10 * time.Minute)
+		require.False(t, j.Idle())
+		require.Less(t, stand.Stats().Refused, uint64(600))
+		stand.SetFaults(standin.StoreFaults{})
+		time.Sleep(lastRetry * 2)
+		require.Equal(t, 30_000, confirmed.count())
+		require.True(t, j.Idle())
+		require.Len(t, read(t, stand), 30_000)
+		require.True(t, j.Full(MaxBacklog+1))
+		require.Error(t, j.Append(make([]dispatch.JournalEntry, MaxBacklog+1)))
+		require.False(t, j.Idle())
+	})
+}
+
+// TestJournalRetention guards against keys that end before the retention period, are kept for good, or count as recent
+// after their start records may have ended.
+func TestJournalRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stand := standin.NewStore(1)
+		defer stand.Close()
+		j, _ := runJournal(t, stand, 1)
+		require.NoError(t, j.Append(testEntries(0, 1, true)))
+		time.Sleep(Segment - time.Second)
+		require.NoError(t, j.Append([]dispatch.JournalEntry{testEntry(1, true), testEntry(2, false)}))
+		time.Sleep(recentFor - time.Second)
+		contents, err := Read(t.Context(), stand, testPool, 2)
+		require.NoError(t, err)
+		require.Equal(t, []structs.KeyHash{testEntry(2, false).Key}, contents.RecentOnce)
+		time.Sleep(RetentionAfterWrite - recentFor)
+		require.Contains(t, read(t, stand), testEntry(1, true).Key)
+		time.Sleep(Segment + 2*time.Second)
+		contents, err = Read(t.Context(), stand, testPool, 2)
+		require.NoError(t, err)
+		require.Equal(t, []dispatch.JournalEntry{testEntry(2, false)}, contents.Entries)
+		require.Empty(t, contents.RecentOnce)
+		time.Sleep(RetentionOnce)
+		require.Empty(t, read(t, stand))
+	})
+}
+
+// TestJournalLateOnceKeyIsNotRecent guards against a job that ran in an outage, whose records have ended, and that looks
+// unstarted because its key was written late.
+func TestJournalLateOnceKeyIsNotRecent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stand := standin.NewStore(1)
+		defer stand.Close()
+		stand.SetFaults(standin.StoreFaults{Outage: true, OutageMilliseconds: 60_000})
+		j, _ := runJournal(t, stand, 1)
+		require.NoError(t, j.Append(testEntries(0, 1, false)))
+		time.Sleep(2 * time.Minute)
+		contents, err := Read(t.Context(), stand, testPool, 2)
+		require.NoError(t, err)
+		require.Len(t, contents.Entries, 1)
+		require.Empty(t, contents.RecentOnce)
+	})
+}
+
+// TestJournalReadRefusesStaleState guards against a takeover that reads the journal as it was before an outage.
+func TestJournalReadRefusesStaleState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stand := standin.NewStore(1)
+		defer stand.Close()
+		stand.SetFaults(standin.StoreFaults{Outage: true, StaleMilliseconds: 5000})
+		stand.SetFaults(standin.StoreFaults{})
+		j, _ := runJournal(t, stand, 1)
+		require.NoError(t, j.Append(testEntries(0, 1, true)))
+		synctest.Wait()
+		require.Len(t, read(t, stand), 1)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		stand.SetFaults(standin.StoreFaults{Outage: true})
+		_, err := Read(ctx, stand, testPool, 2)
+		var failed *Error
+		require.ErrorAs(t, err, &failed)
+	})
+}
+
+// TestJournalUnderFaults guards against confirmed keys that are not in the store, and against keys that are never
+// confirmed, with outages, lost answers, stale reads and slowness in any order.
+func TestJournalUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			stand := standin.NewStore(rapid.Uint64().Draw(rt, "seed"))
+			defer stand.Close()
+			j, confirmed := runJournal(t, stand, 1)
+			total := 0
+			for range rapid.IntRange(1, 20).Draw(rt, "steps") {
+				step(rt, stand)
+				count := rapid.IntRange(0, 50).Draw(rt, "keys")
+				require.NoError(rt, j.Append(testEntries(total, total+count, rapid.Bool().Draw(rt, "repeatable"))))
+				total += count
+				time.Sleep(time.Duration(rapid.IntRange(0, 40).Draw(rt, "wait")) * time.Second)
+			}
+			stand.SetFaults(standin.StoreFaults{})
+			time.Sleep(time.Minute)
+			require.Equal(rt, total, confirmed.count())
+			found := read(rt, stand)
+			for key, times := range confirmed.keys {
+				require.Equal(rt, 1, times)
+				require.Contains(rt, found, key)
+			}
+		})
+	})
+}
+
+// step changes the faults of the store.
+func step(rt *rapid.T, stand *standin.Store) {
+	faults := standin.StoreFaults{
+		Outage:            rapid.IntRange(0, 3).Draw(rt, "outage") == 0,
+		StaleMilliseconds: int64(rapid.IntRange(0, 1).Draw(rt, "stale") * 20_000),
+		SlowMilliseconds:  int64(rapid.IntRange(0, 300).Draw(rt, "slow")),
+		LoseNext:          rapid.IntRange(0, 4).Draw(rt, "lost"),
+	}
+	stand.SetFaults(faults)
+}
