--- a/cmd/rosedrift-standin/main.go
+++ b/cmd/rosedrift-standin/main.go
@@ -19,13 +19,27 @@
 // readHeaderTimeout ends connections that send no request.
 const readHeaderTimeout = 10 * time.Second
 
+// stopTimeout is the longest task timeout by default.
+const stopTimeout = 30 * time.Second
+
 type storeCommand struct {
 	Listen string `arg:"--listen,env:ROSEDRIFT_STORE_LISTEN" default:"127.0.0.1:7400" help:"host:port of the HTTP interface"`
 	Seed   uint64 `arg:"--seed" default:"1" help:"seed of the random faults"`
 }
 
+type backendCommand struct {
+	Listen      string `arg:"--listen,env:ROSEDRIFT_BACKEND_LISTEN" default:"127.0.0.1:0" help:"host:port of the HTTP interface"`
+	Name        string `arg:"--name,required" help:"name of the backend server"`
+	Service     string `arg:"--service,required" help:"service that the server belongs to"`
+	Agent       string `arg:"--agent" help:"host:port of the agent to announce to; empty announces to none"`
+	Slots       int    `arg:"--slots" default:"8" help:"tasks at the same time"`
+	Connections int    `arg:"--connections" default:"64" help:"connections at the same time"`
+	Seed        uint64 `arg:"--seed" default:"1" help:"seed of the run times"`
+}
+
 type options struct {
-	Store *storeCommand `arg:"subcommand:store" help:"run a stand-in of the platform's key-value store"`
+	Store   *storeCommand   `arg:"subcommand:store" help:"run a stand-in of the platform's key-value store"`
+	Backend *backendCommand `arg:"subcommand:backend" help:"run a stand-in of a backend server"`
 }
 
 // Description implements arg.Described.
@@ -36,7 +50,7 @@
 func main() {
 	var o options
 	parser := arg.MustParse(&o)
-	if o.Store == nil {
+	if o.Store == nil && o.Backend == nil {
 		parser.Fail("a subcommand is required")
 	}
 	if err := run(o); err != nil {
@@ -48,9 +62,28 @@
 func run(o options) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if o.Backend != nil {
+		return runBackend(ctx, o.Backend)
+	}
 	return runStore(ctx, o.Store)
 }
 
+// runBackend serves until ctx ends; the tasks under way then have stopTimeout to end.
+func runBackend(ctx context.Context, command *backendCommand) error {
+	backend, err := standin.NewBackend(standin.BackendOptions{
+		Name: command.Name, Service: command.Service, Address: command.Listen, Agent: command.Agent,
+		Slots: command.Slots, Connections: command.Connections, Seed: command.Seed,
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Println(backend.Address())
+	<-ctx.Done()
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	return backend.Close(stopping)
+}
+
 func runStore(ctx context.Context, command *storeCommand) error {
 	stand := standin.NewStore(command.Seed)
 	defer stand.Close()
