Say which servers a listing lacks while a pool has no owner

After: listings and effects name such pools, the warning needs complete data, and servers can be drained by their agent's name during a takeover. A test covers it.

--- a/internal/query/change.go
+++ b/internal/query/change.go
@@ -171,22 +171,25 @@
 
 // zoneEffects says what a zone change does to running and waiting work and how much capacity remains.
 func (x execution) zoneEffects(ctx context.Context, z *Zone, settings []Assignment) []string {
-	totals := totalsByZone(x.system.Agents(ctx).Items)
+	state := lastState(settings)
+	if state == "" {
+		return nil
+	}
+	agents := x.system.Agents(ctx)
+	totals := totalsByZone(agents.Items)
 	own := totals[z.Name]
 	if own == nil {
 		own = &zoneTotals{}
 	}
-	switch lastState(settings) {
-	case string(structs.ZoneIn):
-		return []string{fmt.Sprintf("%s with %s take work again, with half of the slots at first and all after 1 s.",
-			count(own.servers, "backend server"), count(own.slots, "slot"))}
-	case string(structs.ZoneOut):
-		effects := []string{fmt.Sprintf("%s with %s get no new work within 2 s; the %s that run there finish, "+
-			"waiting tasks move to other zones.", count(own.servers, "backend server"), count(own.slots, "slot"),
-			count(own.running, "task"))}
-		return append(effects, x.remaining(z.Name, totals))
+	unseen := x.unseenNotes(ctx, agents.Silent)
+	if state == string(structs.ZoneIn) {
+		text := fmt.Sprintf("%s with %s take work again, with half of the slots at first and all after 1 s.",
+			count(own.servers, "backend server"), count(own.slots, "slot"))
+		return append([]string{text}, unseen...)
 	}
-	return nil
+	text := fmt.Sprintf("%s with %s get no new work within 2 s; the %s that run there finish, waiting tasks move to "+
+		"other zones.", count(own.servers, "backend server"), count(own.slots, "slot"), count(own.running, "task"))
+	return append([]string{text, x.remaining(z.Name, totals, len(unseen) == 0)}, unseen...)
 }
 
 // lastState returns the state that a zone has after the settings, empty if they leave it.
@@ -202,7 +205,8 @@
 
 const fieldState = "state"
 
-func (x execution) remaining(without string, totals map[string]*zoneTotals) string {
+// remaining says what the other zones have. It warns only if all backend servers are seen.
+func (x execution) remaining(without string, totals map[string]*zoneTotals, seen bool) string {
 	config := x.system.Config()
 	servers, slots := 0, 0
 	var zones []string
@@ -213,7 +217,10 @@
 			slots += totals[name].slots
 		}
 	}
-	if servers == 0 {
+	switch {
+	case servers == 0 && !seen:
+		return "What remains in other zones cannot be told at the moment."
+	case servers == 0:
 		return "WARNING: no backend server remains in any other zone; no task can start."
 	}
 	return fmt.Sprintf("%s with %s remain in %s.", count(servers, "backend server"), count(slots, "slot"),
--- a/internal/query/executor.go
+++ b/internal/query/executor.go
@@ -151,6 +151,12 @@
 func (e *Executor) serverNames(ctx context.Context) map[string]structs.AgentID {
 	names := map[string]structs.AgentID{}
 	uses := map[string]int{}
+	// A pool without an owner reports no agents, but this gateway hears them.
+	for _, member := range e.system.InForce(ctx, e.system.Config().Revision).Members {
+		if member.Kind == configuration.MemberAgent {
+			names[member.Name] = structs.AgentID(member.Name)
+		}
+	}
 	agents := e.system.Agents(ctx).Items
 	for _, agent := range agents {
 		names[agent.Status.Server] = agent.Status.Agent.ID
@@ -182,6 +188,18 @@
 	return []string{"No answer from gateway " + strings.Join(names, ", ") + ": what they own is missing here."}
 }
 
+// unseenNotes says which backend servers a listing of agents lacks: those of silent gateways, and those of pools
+// without an owner, as during a takeover.
+func (e *Executor) unseenNotes(ctx context.Context, silent []structs.GatewayID) []string {
+	notes := silentNotes(silent)
+	for _, pool := range e.system.Pools(ctx).Items {
+		if pool.Owner.ID == "" {
+			notes = append(notes, "Pool "+pool.Pool.String()+" has no owner at the moment: its backend servers are missing here.")
+		}
+	}
+	return notes
+}
+
 func checkService(config *structs.Configuration, name string) *structs.Problem {
 	if _, ok := config.Services[name]; ok || name == "" {
 		return nil
--- a/internal/query/executor_test.go
+++ b/internal/query/executor_test.go
@@ -20,8 +20,10 @@
 type fakeSystem struct {
 	config *structs.Configuration
 	refuse error
-	gone   []structs.GatewayID
-	page   configuration.HistoryPage
+	// takeover leaves the pool without an owner, so that nobody reports its agents.
+	takeover bool
+	gone     []structs.GatewayID
+	page     configuration.HistoryPage
 }
 
 func newFakeSystem() *fakeSystem {
@@ -59,7 +61,8 @@
 }
 
 func (f *fakeSystem) InForce(_ context.Context, revision structs.Revision) configuration.ForceStatus {
-	return configuration.ForceStatus{Revision: revision, InForce: true}
+	agent := configuration.MemberStatus{Kind: configuration.MemberAgent, Name: "m1"}
+	return configuration.ForceStatus{Revision: revision, InForce: true, Members: []configuration.MemberStatus{agent}}
 }
 
 func (f *fakeSystem) History(context.Context, structs.Revision, int) (configuration.HistoryPage, error) {
@@ -74,6 +77,9 @@
 }
 
 func (f *fakeSystem) Pools(context.Context) admin.Answers[admin.PoolInfo] {
+	if f.takeover {
+		return admin.Answers[admin.PoolInfo]{Items: []admin.PoolInfo{{Pool: structs.PoolID{Service: "lending"}}}}
+	}
 	return admin.Answers[admin.PoolInfo]{Silent: []structs.GatewayID{"g2"}, Items: []admin.PoolInfo{{
 		Pool: structs.PoolID{Service: "lending"}, Owner: structs.GatewayRef{ID: "g1"}, Mode: dispatch.Attached,
 		Stats: dispatch.Stats{QueuedRoutine: 5, Running: 16, Slots: 16, ExpectedRoutine: 2 * time.Second},
@@ -81,6 +87,9 @@
 }
 
 func (f *fakeSystem) Agents(context.Context) admin.Answers[admin.AgentInfo] {
+	if f.takeover {
+		return admin.Answers[admin.AgentInfo]{}
+	}
 	agent := func(id, zone, state string) admin.AgentInfo {
 		return admin.AgentInfo{Pool: structs.PoolID{Service: "lending"}, Status: dispatch.AgentStatus{
 			Agent: structs.AgentRef{ID: structs.AgentID(id)}, Zone: zone, Server: "mould-" + id, Slots: 8, Running: 8,
@@ -149,6 +158,20 @@
 	require.Contains(t, strings.Join(run(t, f, admin.Request{Command: "zone catania out"}).Text, "\n"), "WARNING: no backend server")
 }
 
+// TestTakeoverHidesServers guards against a warning about missing capacity while the servers of a pool are only not
+// reported, and against servers that cannot be drained during that time.
+func TestTakeoverHidesServers(t *testing.T) {
+	f := newFakeSystem()
+	f.takeover = true
+	text := strings.Join(run(t, f, admin.Request{Command: "zone catania out"}).Text, "\n")
+	require.NotContains(t, text, "WARNING")
+	require.Contains(t, text, "What remains in other zones cannot be told at the moment.")
+	require.Contains(t, text, "Pool lending.0 has no owner at the moment")
+	require.Contains(t, run(t, f, admin.Request{Command: "servers"}).Notes[0], "its backend servers are missing here")
+	run(t, f, admin.Request{Command: "server m1 drain"})
+	require.Contains(t, f.config.Servers, "m1")
+}
+
 // TestChangesChangeTheDocument guards against commands that are accepted and have another effect.
 func TestChangesChangeTheDocument(t *testing.T) {
 	f := newFakeSystem()
--- a/internal/query/list.go
+++ b/internal/query/list.go
@@ -61,7 +61,7 @@
 		list.add(name, string(cmp.Or(config.State, structs.ZoneIn)), config.Region, sum.servers, sum.slots, sum.running)
 	}
 	result := list.result()
-	result.Notes = silentNotes(agents.Silent)
+	result.Notes = e.unseenNotes(ctx, agents.Silent)
 	return result
 }
 
@@ -85,7 +85,7 @@
 			status.Running, status.Queued, status.Speed, agent.Revision, status.State)
 	}
 	result := list.result()
-	result.Notes = append(silentNotes(agents.Silent), drainingUnseen(config, agents.Items)...)
+	result.Notes = append(e.unseenNotes(ctx, agents.Silent), drainingUnseen(config, agents.Items)...)
 	return result, nil
 }
 
