--- a/internal/dispatch/api.go
+++ b/internal/dispatch/api.go
@@ -47,6 +47,9 @@
 	Connections int
 	Leaving     bool
 	Eligible    bool
+	// Relinked is true if the link was established anew, so that messages under way may have been lost. The pool
+	// then asks the agent for the results of all tasks in flight.
+	Relinked bool
 }
 
 // AgentLost reports that an agent has been silent for LostAfter or that a new incarnation has replaced it.
@@ -76,7 +79,12 @@
 // Events carries task events of an agent. Events of an epoch above the pool's are ignored; events of lower epochs
 // are accepted, since adopted tasks were started under them.
 type Events struct {
-	Agent  structs.AgentRef
+	Agent structs.AgentRef
+	// Epoch is TaskEvents.Epoch; 0 stands for the pool's own. A refusal or withdrawal of a lower epoch answers a
+	// start of an earlier owner and proves nothing about a start of this one, so it is ignored.
+	Epoch structs.Epoch
+	// Unsent is true for refusals made by the shell because no link took the starts. The agent has never seen them.
+	Unsent bool
 	Events []structs.TaskEvent
 }
 
@@ -91,10 +99,18 @@
 	Doubt   bool
 	Journal []JournalEntry
 	Records []AgentRecords
+	// RecentOnce lists keys of entries in Journal that are not repeatable and were written so recently that the
+	// agents' start records of them cannot have ended. The journal entries of such jobs outlive the start records,
+	// so a missing record proves nothing for the keys that are not listed.
+	RecentOnce []structs.KeyHash
 }
 
-// Restore ends a planned handover with the previous owner's snapshot.
-type Restore struct{ Jobs []structs.HandoffJob }
+// Restore ends a planned handover with the previous owner's snapshot and the agents' answers to the fence, which
+// tell the running tasks from those dropped by the promise.
+type Restore struct {
+	Jobs       []structs.HandoffJob
+	Collection Adopt
+}
 
 // AgentRecords holds the fence reply of one agent.
 type AgentRecords struct {
--- /dev/null
+++ b/internal/dispatch/start.go
@@ -0,0 +1,315 @@
+package dispatch
+
+import (
+	"time"
+
+	"rosedrift.example/rosedrift/internal/fairqueue"
+	"rosedrift.example/rosedrift/internal/placement"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// prefetchMean is the longest mean run time of a kind whose tasks are sent to servers without a free slot. Prefetch
+// hides the round trip of about 1 ms, which costs longer tasks less than 1% of the capacity.
+const prefetchMean = 100 * time.Millisecond
+
+// dispatch starts tasks while there are waiting tasks and servers for them.
+func (p *Pool) dispatch() {
+	if !p.mayStart() {
+		return
+	}
+	p.index.NoteUrgent(p.runningUrgent + p.waiting[structs.Urgent])
+	p.index.Settle()
+	for p.startNext() {
+	}
+}
+
+func (p *Pool) startNext() bool {
+	if p.queue.RoutineDue() {
+		return p.startClass(structs.Routine) || p.startClass(structs.Urgent)
+	}
+	return p.startClass(structs.Urgent) || p.startClass(structs.Routine)
+}
+
+// startClass starts or parks the next task of a class. It returns false if there is none or no server for it.
+func (p *Pool) startClass(class structs.Priority) bool {
+	entry := p.queue.Peek(class)
+	if entry == nil {
+		return false
+	}
+	j := entry.Value
+	if j.started() == 0 && p.isHopeless(j) {
+		p.endJob(j, structs.CodeDeadline, p.outcomeNow(j), "the job cannot end before its deadline")
+		return true
+	}
+	if len(j.returned) > 0 && p.startReturned(j) {
+		return true
+	}
+	if j.waiting == len(j.returned) {
+		return p.park(j)
+	}
+	a := p.choose(j, nil)
+	if a == nil {
+		return false
+	}
+	p.start(j, j.nextFresh(), a)
+	return true
+}
+
+// isHopeless reports whether a job's tasks would not end before its deadline even on all slots of its class. Such a
+// job is not started, since its work would be wasted.
+func (p *Pool) isHopeless(j *job) bool {
+	capacity := p.capacity(j.sub.Priority)
+	if p.options.Policy != PolicyDefault || capacity == 0 || !j.kind.Known() {
+		return false
+	}
+	own := float64(j.waiting) * float64(j.kind.Work()) / capacity
+	return p.now+time.Duration(own) > j.due
+}
+
+// startReturned starts a task that a server has returned, at another one.
+func (p *Pool) startReturned(j *job) bool {
+	index := j.returned[0]
+	j.returned = j.returned[1:]
+	a := p.choose(j, p.servers(j.excluded[index]))
+	if a == nil {
+		j.returned = append(j.returned, index)
+		return false
+	}
+	p.start(j, index, a)
+	return true
+}
+
+// servers returns the servers of the agents that are still known.
+func (p *Pool) servers(refs []structs.AgentRef) []*placement.Server {
+	list := make([]*placement.Server, 0, len(refs))
+	for _, ref := range refs {
+		if a, ok := p.agents[ref]; ok {
+			list = append(list, a.server)
+		}
+	}
+	return list
+}
+
+// park takes a job out of the queue for a moment if each server that could take its tasks has returned them before.
+func (p *Pool) park(j *job) bool {
+	if p.choose(j, nil) == nil {
+		return false
+	}
+	j.parked = true
+	p.parked = append(p.parked, j)
+	p.queue.Hold(j.entry)
+	return true
+}
+
+func (p *Pool) unpark() {
+	for _, j := range p.parked {
+		j.parked = false
+		if j.state == jobLive && !j.awaiting {
+			p.queue.Release(j.entry)
+		}
+	}
+	clear(p.parked)
+	p.parked = p.parked[:0]
+}
+
+// nextFresh returns the next task that has never been sent.
+func (j *job) nextFresh() uint32 {
+	for j.tasks[j.fresh].state != taskWaiting || j.tasks[j.fresh].resent {
+		j.fresh++
+	}
+	return j.fresh
+}
+
+// choose returns the agent for a task of the job, or nil.
+func (p *Pool) choose(j *job, excluded []*placement.Server) *agent {
+	var s *placement.Server
+	switch p.options.Policy {
+	case PolicyRandom:
+		s = p.index.Random(excluded)
+	case PolicyFIFO:
+		s = p.index.Next(excluded)
+	default:
+		s = p.chooseFastest(j, excluded)
+	}
+	if s == nil {
+		return nil
+	}
+	return s.Value.(*agent)
+}
+
+// chooseFastest applies the default policy. Routine tasks leave the fast servers to urgent work as long as others are
+// free.
+func (p *Pool) chooseFastest(j *job, excluded []*placement.Server) *placement.Server {
+	if j.sub.Priority == structs.Urgent {
+		return p.chooseUrgent(j, excluded)
+	}
+	if s := p.index.Fastest(j.kind, placement.RestSlot, excluded); s != nil {
+		return s
+	}
+	mean := j.kind.Mean()
+	need := placement.BulkSlot
+	if mean <= placement.ShortRoutine || p.queue.RoutineDue() {
+		need = placement.AnySlot
+	}
+	if s := p.index.Slowest(j.kind, need, excluded); s != nil {
+		return s
+	}
+	if mean > prefetchMean || p.queue.Peek(structs.Urgent) != nil {
+		return nil
+	}
+	return p.index.Fastest(j.kind, placement.QueuePlace, excluded)
+}
+
+// chooseUrgent returns the fastest free server, or nil if the job's last waiting task is expected to end earlier by
+// waiting for a faster one. A job waits at most for the time that the slower server would take.
+func (p *Pool) chooseUrgent(j *job, excluded []*placement.Server) *placement.Server {
+	s := p.index.Fastest(j.kind, placement.AnySlot, excluded)
+	if s == nil {
+		return p.index.Fastest(j.kind, placement.OvertakePlace, excluded)
+	}
+	wait, expected := p.index.BetterWait(j.kind, s, p.waiting[structs.Urgent])
+	if !wait {
+		j.deferredUntil = 0
+		return s
+	}
+	if j.deferredUntil == 0 {
+		j.deferredUntil = p.now + expected
+	}
+	if p.now >= j.deferredUntil {
+		return s
+	}
+	return nil
+}
+
+// start sends a task to an agent.
+func (p *Pool) start(j *job, index uint32, a *agent) {
+	t := &j.tasks[index]
+	if t.state != taskWaiting || j.state != jobLive {
+		panic("dispatch: second start of a task of job " + j.id.String())
+	}
+	cost := j.kind.Work()
+	p.queue.Take(j.entry, cost)
+	p.countWaiting(j, -1)
+	if j.sub.Priority == structs.Urgent {
+		p.urgentShare.add(cost)
+	}
+	p.attach(j, index, a, taskSent)
+	p.index.Reserve(a.server)
+	p.stats.Started++
+	if len(a.pending) == 0 {
+		p.touched = append(p.touched, a)
+	}
+	a.pendingUrgent = a.pendingUrgent || j.sub.Priority == structs.Urgent
+	a.pending = append(a.pending, structs.TaskStart{
+		Task:     structs.TaskRef{Job: j.id, Index: index},
+		Priority: j.sub.Priority,
+		Kind:     j.sub.Kind,
+		Timeout:  min(p.service.TaskTimeout, j.due-p.now),
+		Payload:  j.sub.Payloads[index],
+	})
+}
+
+// attach puts a task into the list of an agent.
+func (p *Pool) attach(j *job, index uint32, a *agent, state taskState) {
+	t := &j.tasks[index]
+	t.state, t.agent, t.position = state, a, int32(len(a.tasks))
+	a.tasks = append(a.tasks, agentTask{job: j, index: index})
+	if state == taskSent {
+		j.sent++
+		p.countRunning(j, 1)
+	} else {
+		j.recorded++
+	}
+}
+
+// detach takes a task out of the list of its agent and frees its place. The caller sets the new state.
+func (p *Pool) detach(j *job, index uint32) {
+	t := &j.tasks[index]
+	a := t.agent
+	if a != nil {
+		last := len(a.tasks) - 1
+		moved := a.tasks[last]
+		a.tasks[t.position] = moved
+		moved.job.tasks[moved.index].position = t.position
+		a.tasks[last] = agentTask{}
+		a.tasks = a.tasks[:last]
+	}
+	t.agent = nil
+	if t.state == taskRecorded {
+		j.recorded--
+		return
+	}
+	j.sent--
+	p.countRunning(j, -1)
+	p.index.Release(a.server)
+	if j.sent < 0 || p.running < 0 {
+		panic("dispatch: fewer than 0 tasks of job " + j.id.String() + " at agents")
+	}
+}
+
+// countRunning changes the number of tasks at agents.
+func (p *Pool) countRunning(j *job, change int) {
+	p.running += change
+	if j.sub != nil && j.sub.Priority == structs.Urgent {
+		p.runningUrgent += change
+	}
+}
+
+// capacity returns the work per second that serves a class, in the unit of Kind.Work.
+func (p *Pool) capacity(class structs.Priority) float64 {
+	capacity := p.index.Capacity()
+	if class == structs.Urgent {
+		return capacity
+	}
+	return capacity * max(1-p.urgentShare.share(capacity), fairqueue.RoutineShare)
+}
+
+// expectedEnd returns the expected time until a new submission has ended. It is 0 if there is no work ahead, so that
+// a wrong estimate cannot keep a kind from being tried, and without servers, which has a limit of its own.
+func (p *Pool) expectedEnd(sub *structs.Submission) time.Duration {
+	capacity := p.capacity(sub.Priority)
+	kind := p.index.Kind(sub.Kind, sub.DeclaredTime)
+	own := time.Duration(len(sub.Payloads)) * kind.Work()
+	ahead := p.queue.Ahead(sub.Priority, sub.Team, own)
+	if sub.Priority == structs.Routine {
+		ahead += p.queue.Work(structs.Urgent)
+	}
+	if ahead == 0 || capacity == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead+own)/capacity) + kind.Mean()
+}
+
+// loadMeter measures the work started per second in windows of meterWindow.
+type loadMeter struct {
+	from    time.Duration
+	work    time.Duration
+	average float64
+}
+
+const (
+	meterWindow = time.Second
+	// meterWeight is the weight of the newest window in the average.
+	meterWeight = 0.3
+)
+
+func (m *loadMeter) add(work time.Duration) { m.work += work }
+
+// roll closes the window when its time is over.
+func (m *loadMeter) roll(now time.Duration) {
+	elapsed := now - m.from
+	if elapsed < meterWindow {
+		return
+	}
+	rate := float64(m.work) / float64(elapsed)
+	m.average += meterWeight * (rate - m.average)
+	m.from, m.work = now, 0
+}
+
+// share returns the part of a capacity that the metered work takes.
+func (m *loadMeter) share(capacity float64) float64 {
+	if capacity == 0 {
+		return 0
+	}
+	return min(m.average/capacity, 1)
+}
--- /dev/null
+++ b/internal/placement/kind.go
@@ -0,0 +1,189 @@
+package placement
+
+import (
+	"math"
+	"math/bits"
+	"time"
+)
+
+// Estimation of run times. All averages are taken over logarithms, since run times spread over two orders of
+// magnitude and an arithmetic average would follow the few longest tasks.
+const (
+	// defaultRunTime is the expectation for a kind without observations and declaration.
+	defaultRunTime = 200 * time.Millisecond
+	// maxDeclared bounds the first estimate, since declared times are far off and a too high one has work refused.
+	maxDeclared = time.Second
+	// pairWeight is the weight of the newest observation of a (server, kind) pair after the first ones.
+	pairWeight = 0.1
+	// kindWeight is the same for a kind over all servers.
+	kindWeight = 0.02
+	// priorSamples is the number of observations that the server's speed over all kinds counts for in the estimate
+	// of a pair.
+	priorSamples = 3.0
+	// maxKinds bounds the memory of the index. Further kinds share the estimates of existing ones.
+	maxKinds = 256
+	// maxSpeedLog bounds the learned speed to factors from 1/64 to 64.
+	maxSpeedLog = 6.0
+)
+
+// Buckets order servers by expected run time: 8 buckets to a factor of 2, about 9% each, from 1 ms to 65 s.
+const (
+	bucketsPerOctave = 8
+	bucketCount      = 128
+)
+
+// Kind holds the estimates of one kind of tasks and its servers in order of expected run time.
+type Kind struct {
+	// log is the base 2 logarithm of the run time in milliseconds on a server of speed 1.
+	log float64
+	// mean is the average run time in milliseconds, work the same on a server of speed 1.
+	mean    float64
+	work    float64
+	samples float64
+	pairs   []pair
+	buckets [bucketCount]bitset
+	// slots is the number of serving slots per bucket.
+	slots [bucketCount]int
+	// used marks non-empty buckets.
+	used [bucketCount / wordBits]uint64
+}
+
+// pair is the estimate of one server for one kind.
+type pair struct {
+	log     float64
+	samples float64
+	bucket  int
+	present bool
+}
+
+// Mean returns the expected run time of a task on an average server.
+func (k *Kind) Mean() time.Duration {
+	return time.Duration(k.mean * float64(time.Millisecond))
+}
+
+// Work returns the expected run time of a task on a server of speed 1. Index.Capacity counts in the same unit.
+func (k *Kind) Work() time.Duration {
+	return time.Duration(k.work * float64(time.Millisecond))
+}
+
+// Known reports whether the estimates rest on observations.
+func (k *Kind) Known() bool { return k.samples > 0 }
+
+func newKind(declared time.Duration) *Kind {
+	if declared <= 0 {
+		declared = defaultRunTime
+	}
+	ms := max(min(declared, maxDeclared).Seconds()*1000, 1)
+	return &Kind{log: math.Log2(ms), mean: ms, work: ms}
+}
+
+// observe learns from a finished task and moves the server to its bucket.
+func (k *Kind) observe(s *Server, runTime time.Duration) {
+	ms := max(runTime.Seconds()*1000, 0.1)
+	log := math.Log2(ms)
+	k.samples++
+	weight := max(1/k.samples, kindWeight)
+	k.mean += weight * (ms - k.mean)
+	k.work += weight * (ms/s.Speed() - k.work)
+	k.log += weight * (log - s.speed - k.log)
+	s.samples++
+	s.speed += max(1/(s.samples+priorSamples), pairWeight) * (log - k.log - s.speed)
+	s.speed = min(max(s.speed, -maxSpeedLog), maxSpeedLog)
+	p := &k.pairs[s.number]
+	p.samples++
+	p.log += max(1/p.samples, pairWeight) * (log - p.log)
+	k.place(s)
+}
+
+// expected returns the logarithm of the expected run time of a task on a server.
+func (k *Kind) expected(s *Server) float64 {
+	p := &k.pairs[s.number]
+	n := min(p.samples, 1/pairWeight)
+	return (n*p.log + priorSamples*(k.log+s.speed)) / (n + priorSamples)
+}
+
+// place puts a server into the bucket of its expected run time.
+func (k *Kind) place(s *Server) {
+	for len(k.pairs) <= s.number {
+		k.pairs = append(k.pairs, pair{})
+	}
+	bucket := min(max(int(k.expected(s)*bucketsPerOctave), 0), bucketCount-1)
+	p := &k.pairs[s.number]
+	if p.present && p.bucket == bucket {
+		return
+	}
+	k.remove(s)
+	p.present, p.bucket = true, bucket
+	k.slots[bucket] += s.weight
+	k.buckets[bucket].set(s.number)
+	k.used[bucket/wordBits] |= 1 << (bucket % wordBits)
+}
+
+// remove takes a server out of its bucket.
+func (k *Kind) remove(s *Server) {
+	p := &k.pairs[s.number]
+	if !p.present {
+		return
+	}
+	p.present = false
+	k.slots[p.bucket] -= s.weight
+	k.buckets[p.bucket].clear(s.number)
+	if k.buckets[p.bucket].empty() {
+		k.used[p.bucket/wordBits] &^= 1 << (p.bucket % wordBits)
+	}
+}
+
+// reweigh changes the number of serving slots of a server.
+func (k *Kind) reweigh(s *Server, weight int) {
+	if p := &k.pairs[s.number]; p.present {
+		k.slots[p.bucket] += weight - s.weight
+	}
+}
+
+// bucketTime returns the run time in milliseconds that a bucket stands for.
+func bucketTime(bucket int) float64 {
+	return math.Exp2((float64(bucket) + 0.5) / bucketsPerOctave)
+}
+
+// faster returns the number of serving slots in the buckets before one and the tasks of the kind per millisecond that
+// they can run.
+func (k *Kind) faster(bucket int) (slots, rate float64) {
+	for i, used := range k.used {
+		for ; used != 0; used &= used - 1 {
+			b := i*wordBits + bits.TrailingZeros64(used)
+			if b >= bucket {
+				return slots, rate
+			}
+			slots += float64(k.slots[b])
+			rate += float64(k.slots[b]) / bucketTime(b)
+		}
+	}
+	return slots, rate
+}
+
+// slowest returns the member of set with the highest expected run time, or -1.
+func (k *Kind) slowest(set *bitset, turn int) int {
+	for i := len(k.used) - 1; i >= 0; i-- {
+		for used := k.used[i]; used != 0; {
+			top := wordBits - 1 - bits.LeadingZeros64(used)
+			if number := common(&k.buckets[i*wordBits+top], set, turn); number >= 0 {
+				return number
+			}
+			used &^= 1 << top
+		}
+	}
+	return -1
+}
+
+// fastest returns the member of set with the lowest expected run time, or -1.
+func (k *Kind) fastest(set *bitset, turn int) int {
+	for i, used := range k.used {
+		for ; used != 0; used &= used - 1 {
+			bucket := i*wordBits + bits.TrailingZeros64(used)
+			if number := common(&k.buckets[bucket], set, turn); number >= 0 {
+				return number
+			}
+		}
+	}
+	return -1
+}
