--- a/cmd/rosedrift/client.go
+++ b/cmd/rosedrift/client.go
@@ -107,6 +107,8 @@
 	}
 	failure.text = failure.body.Detail
 	switch {
+	case failure.body.Code == structs.CodeNotFound:
+		// The outcome is that of the unknown job's tasks, not that of the command.
 	case failure.body.Outcome == structs.OutcomeMayHaveRun.String():
 		failure.code = exitUnknown
 	case failure.body.Code == structs.CodeBadRequest:
--- a/cmd/rosedrift/main_test.go
+++ b/cmd/rosedrift/main_test.go
@@ -120,6 +120,7 @@
 		{&fakeGateway{}, "--help", exitDone, "Exit codes"},
 		{&fakeGateway{}, "zones", exitDone, "ZONE     STATE\ncatania  in?"},
 		{problem(structs.CodeConflict, structs.OutcomeNotRun), "zone a in", exitRefused, "no"},
+		{problem(structs.CodeNotFound, structs.OutcomeMayHaveRun), "why job l.0.f", exitRefused, "no"},
 		{problem(structs.CodeBadRequest, structs.OutcomeNotRun), "zone a in", exitUsage, "no"},
 		{problem(structs.CodeStoreDown, structs.OutcomeMayHaveRun), "zone a in", exitUnknown, "no"},
 		{problem("", structs.OutcomeNotRun), "zone a in", exitUnknown, "not from a gateway"},
--- a/internal/query/executor_test.go
+++ b/internal/query/executor_test.go
@@ -268,7 +268,7 @@
 		require.Contains(t, text, want)
 	}
 	id := structs.JobID{Pool: structs.PoolID{Service: "lending"}}.String()
-	require.Contains(t, run(t, f, admin.Request{Command: "why job " + id}).Text, "All slots are busy.")
+	require.Contains(t, run(t, f, admin.Request{Command: "why job " + id}).Text, "Reason: All slots are busy.")
 	require.True(t, run(t, f, admin.Request{Command: "cancel job " + id, DryRun: true}).DryRun)
 	require.Contains(t, run(t, f, admin.Request{Command: "cancel job " + id}).Text[0], "is cancelled")
 	require.Contains(t, strings.Join(run(t, f, admin.Request{Command: "gateway g2 gone", DryRun: true}).Text, " "), "tasks can start twice")
--- a/internal/query/why.go
+++ b/internal/query/why.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"rosedrift.example/rosedrift/internal/admin"
 	"rosedrift.example/rosedrift/internal/configuration"
@@ -24,14 +25,20 @@
 }
 
 func jobText(status structs.JobStatus) []string {
-	first := fmt.Sprintf("Job %s of team %s (%s) is %s after %s.", status.Job, status.Team, status.Priority,
-		status.Outcome, durationText(status.Age))
-	second := fmt.Sprintf("Of %s, %d finished, %d run and %d wait.", count(status.Tasks, "task"), status.Finished,
-		status.Running, status.Queued)
-	if status.Reason == "" {
-		return []string{first, second}
+	state := "has ended with the outcome " + status.Outcome.String()
+	if status.Outcome == structs.OutcomePending {
+		state = "is pending"
 	}
-	return []string{first, second, status.Reason}
+	text := []string{
+		fmt.Sprintf("Job %s of team %s (%s) %s, %s after its admission.", status.Job, status.Team, status.Priority, state,
+			durationText(status.Age)),
+		fmt.Sprintf("Of %s, %d finished, %d run and %d wait.", count(status.Tasks, "task"), status.Finished,
+			status.Running, status.Queued),
+	}
+	if status.Reason != "" {
+		text = append(text, "Reason: "+strings.TrimSuffix(status.Reason, ".")+".")
+	}
+	return text
 }
 
 func (e *Executor) whyQueue(ctx context.Context, service string) (*admin.Result, *structs.Problem) {
