Bench: count WebSocket messages at the relays, add idle scenario and policy setting

Purpose: messages per task and control cost must not come from rosedrift's own counters. After: the frame counter is checked by a property over random splits of the stream.

--- a/cmd/rosedrift-gateway/main.go
+++ b/cmd/rosedrift-gateway/main.go
@@ -14,6 +14,7 @@
 
 	"rosedrift.example/rosedrift/internal/admin"
 	"rosedrift.example/rosedrift/internal/auth"
+	"rosedrift.example/rosedrift/internal/dispatch"
 	"rosedrift.example/rosedrift/internal/gateway"
 	"rosedrift.example/rosedrift/internal/query"
 	"rosedrift.example/rosedrift/internal/settings"
@@ -46,6 +47,7 @@
 		Advertise:    s.Advertise,
 		Logger:       logger,
 		Metrics:      metrics,
+		Policy:       dispatch.Policy(s.Policy),
 		LinkKey:      s.ClusterKey,
 		DrainTimeout: s.DrainTimeout.Duration,
 		MaxBodyBytes: s.MaxBodyBytes.Value,
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,129 @@
+package bench
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"rosedrift.example/rosedrift/internal/structs"
+	_ "rosedrift.example/rosedrift/internal/testseed"
+)
+
+// TestFrameCounter guards against message counts that depend on how the bytes are split into reads.
+func TestFrameCounter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stream := []byte("GET / HTTP/1.1\r\nUpgrade: websocket\r\n\r\n")
+		messages := rapid.IntRange(0, 20).Draw(t, "messages")
+		for range messages {
+			length := rapid.SampledFrom([]int{0, 5, 125, 126, 300, 70_000}).Draw(t, "length")
+			stream = appendFrame(stream, opBinary, length)
+			stream = appendFrame(stream, 9, 4)
+		}
+		var count, bytes atomic.Int64
+		counter := frameCounter{messages: &count, bytes: &bytes}
+		for rest := stream; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "read")
+			counter.feed(rest[:n])
+			rest = rest[n:]
+		}
+		require.EqualValues(t, messages, count.Load())
+		require.EqualValues(t, len(stream), bytes.Load())
+	})
+}
+
+func appendFrame(stream []byte, opcode byte, length int) []byte {
+	stream = append(stream, 0x80|opcode)
+	switch {
+	case length < 126:
+		stream = append(stream, 0x80|byte(length))
+	case length < 1<<16:
+		stream = append(stream, 0x80|126, byte(length>>8), byte(length))
+	default:
+		stream = append(stream, 0x80|127, 0, 0, 0, 0, 0, byte(length>>16), byte(length>>8), byte(length))
+	}
+	stream = append(stream, 1, 2, 3, 4)
+	return append(stream, make([]byte, length)...)
+}
+
+// TestGenerateOffersTheLoad guards against a workload whose offered work differs from the stated utilization.
+func TestGenerateOffersTheLoad(t *testing.T) {
+	p := Profiles()["teglie"]
+	load := Load{Utilization: 0.8, Duration: 30 * time.Minute}
+	jobs := Generate(p, load, 1)
+	require.Equal(t, jobs, Generate(p, load, 1), "the same seed must give the same jobs")
+	work := 0.0
+	for i := range jobs {
+		work += jobs[i].Work().Seconds()
+	}
+	require.InEpsilon(t, 0.8, work/(p.Capacity(nil)*load.Duration.Seconds()), 0.05)
+}
+
+// TestIdealIsALowerBound guards against an ideal that a system without waiting could not reach.
+func TestIdealIsALowerBound(t *testing.T) {
+	p := Profiles()["ardoise"]
+	one := &Job{RunTimes: []time.Duration{time.Second}}
+	require.InDelta(t, p.MeanSlowdown(), Ideal(p, one).Seconds(), 0.001)
+	many := &Job{}
+	for range 670 {
+		many.RunTimes = append(many.RunTimes, time.Second)
+	}
+	require.Greater(t, Ideal(p, many).Seconds(), 670/p.Capacity(nil))
+}
+
+// TestChecksFindBrokenPromises guards against checks that cannot fail: each broken promise is put into an
+// observation and must be reported.
+func TestChecksFindBrokenPromises(t *testing.T) {
+	p := Profiles()["teglie"]
+	job := &Job{Team: "t", Key: "k", RunTimes: []time.Duration{time.Second, time.Second}}
+	key := structs.HashKey("t", "k")
+	id := structs.JobID{Pool: structs.PoolOfKey(p.Service, 1, key), Key: key}
+	whole := []echo{{Echo: echoOf(job, 0)}, {Echo: echoOf(job, 1)}}
+	base := func() *observation {
+		return &observation{
+			profile: p, duration: time.Minute, measured: window{to: time.Minute},
+			zoneOut: map[string][]window{}, leaving: map[int][]window{},
+			starts:   []start{{job: id.String(), task: 0, at: 20 * time.Second}, {job: id.String(), task: 1, at: 20 * time.Second}},
+			verdicts: []verdict{{job: job, id: id, attempts: 1, outcome: structs.OutcomeComplete, results: whole}},
+		}
+	}
+	sound := &Result{}
+	base().evaluate(sound)
+	require.Empty(t, sound.Broken)
+	for name, spoil := range map[string]func(o *observation){
+		"started twice": func(o *observation) { o.starts = append(o.starts, o.starts[0]) },
+		"partial":       func(o *observation) { o.verdicts[0].results = whole[:1] },
+		"another job":   func(o *observation) { o.verdicts[0].results = []echo{whole[1], whole[0]} },
+		"not run":       func(o *observation) { o.verdicts[0].outcome = structs.OutcomeNotRun },
+		"zone":          func(o *observation) { o.zoneOut[p.Zone(0)] = []window{{time.Second, time.Minute}} },
+		"leaving":       func(o *observation) { o.leaving[0] = []window{{time.Second, time.Minute}} },
+		"cut":           func(o *observation) { o.plannedStops, o.verdicts[0].cut = true, 1 },
+		"revert":        func(o *observation) { o.configReverts = 1 },
+		"in force":      func(o *observation) { o.inForce = []time.Duration{5 * time.Second} },
+		"no answer":     func(o *observation) { o.verdicts[0].unanswered = true },
+		"no start":      func(o *observation) { o.starts = nil },
+		"slots":         func(o *observation) { o.slotsExceeded = 1 },
+	} {
+		o, r := base(), &Result{}
+		spoil(o)
+		o.evaluate(r)
+		require.NotEmpty(t, r.Broken, name)
+	}
+}
+
+// TestRelayCutsOneDirection guards against cuts that close connections or let bytes through.
+func TestRelayCutsOneDirection(t *testing.T) {
+	server := newEchoServer(t)
+	relay, err := NewRelay(server.addr, 0)
+	require.NoError(t, err)
+	defer relay.Close()
+	conn := dial(t, relay.Addr())
+	require.Equal(t, "a", exchange(t, conn, "a", expectAnswer))
+	relay.Cut(Inbound)
+	require.Empty(t, exchange(t, conn, "b", expectNone))
+	require.Equal(t, "ab", server.received())
+	relay.Heal()
+	require.Equal(t, "c", exchange(t, dial(t, relay.Addr()), "c", expectAnswer))
+}
--- a/internal/bench/relay.go
+++ b/internal/bench/relay.go
@@ -27,6 +27,8 @@
 	delay    time.Duration
 	// cutOut and cutIn stop the bytes of each direction.
 	cutOut, cutIn atomic.Bool
+	// messages and bytes count the WebSocket messages and the bytes of both directions.
+	messages, bytes atomic.Int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -123,6 +125,7 @@
 // copy forwards the bytes in order, each block after the delay. A reader and a writer run apart, so that the delay
 // does not limit the throughput.
 func (r *Relay) copy(to, from net.Conn, cut *atomic.Bool) {
+	counter := frameCounter{messages: &r.messages, bytes: &r.bytes}
 	blocks := make(chan delayed, 1024)
 	go r.write(to, blocks, cut)
 	defer close(blocks)
@@ -130,6 +133,7 @@
 		buffer := make([]byte, 32<<10)
 		n, err := from.Read(buffer)
 		if n > 0 {
+			counter.feed(buffer[:n])
 			blocks <- delayed{data: buffer[:n], due: time.Now().Add(r.delay)}
 		}
 		if err != nil {
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -40,7 +40,8 @@
 	RoutineRatioP50 float64 `json:"routine_ratio_p50"`
 	RoutineRatioP99 float64 `json:"routine_ratio_p99"`
 
-	MessagesPerTask       float64 `json:"messages_per_task"`
+	MessagesPerTask float64 `json:"messages_per_task"`
+	// WastedMessagesPerTask counts refused and withdrawn starts, as the gateways' metrics report them.
 	WastedMessagesPerTask float64 `json:"wasted_messages_per_task"`
 	WorkSustainedRatio    float64 `json:"work_sustained_ratio"`
 	GoodputRatio          float64 `json:"goodput_ratio"`
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -167,6 +167,8 @@
 	agents   []usage
 	gateways []usage
 	store    standin.StoreStats
+	messages int64
+	bytes    int64
 }
 
 func (c *Cluster) sampleAt(ctx context.Context, at time.Duration) sample {
@@ -181,6 +183,8 @@
 	}
 	for _, node := range c.Gateways {
 		s.gateways = append(s.gateways, node.Usage())
+		s.messages += node.Links.messages.Load()
+		s.bytes += node.Links.bytes.Load()
 	}
 	response, err := c.client.Get(c.storeURL + "/stats")
 	if err != nil {
@@ -207,6 +211,11 @@
 		}
 	}
 	r.StoreWritesPerS, r.StoreReadsPerS = writes/seconds, reads/seconds
+	if r.TasksStarted > 0 {
+		r.MessagesPerTask = float64(after.messages-before.messages) / (r.StartsPerS * seconds)
+	} else {
+		r.AgentControlBytesPerS = float64(after.bytes-before.bytes) / seconds / float64(len(after.agents))
+	}
 }
 
 func meanUsage(before, after []usage, seconds float64) (cpuPercent, rssMB float64) {
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -92,6 +92,9 @@
 // stream adds Poisson arrivals that offer rate seconds of work per second. The mean work of a job is estimated
 // from a sample so that the offered load does not depend on the formulas of the distributions.
 func (g *generator) stream(rate float64, draw func() Job) {
+	if rate <= 0 {
+		return
+	}
 	const sample = 2000
 	mean := 0.0
 	for range sample {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -18,6 +18,7 @@
 	TLSCA        string   `arg:"--tls-ca,env:ROSEDRIFT_TLS_CA" check:"file" help:"certificates (PEM) that sign agents' and gateways' certificates"`
 	KeysFile     string   `arg:"--keys-file,env:ROSEDRIFT_KEYS_FILE" check:"file" help:"file with the keys of teams and operators"`
 	ClusterKey   string   `arg:"--cluster-key,env:ROSEDRIFT_CLUSTER_KEY" secret:"yes" help:"shared key of rosedrift processes on links"`
+	Policy       string   `arg:"--policy,env:ROSEDRIFT_POLICY" default:"rosedrift" check:"word:rosedrift|random|fifo" help:"dispatch policy; random and fifo are baselines for measurements"`
 	DrainTimeout Duration `arg:"--drain-timeout,env:ROSEDRIFT_DRAIN_TIMEOUT" default:"60s" min:"1s" max:"10m" help:"longest time that a planned stop waits for callers' requests"`
 	MaxBodyBytes Int      `arg:"--max-body-bytes,env:ROSEDRIFT_MAX_BODY_BYTES" default:"67108864" min:"1024" max:"1073741824" unit:"bytes" help:"largest request body, whatever the configuration says"`
 	HeldBytes    Int      `arg:"--held-bytes,env:ROSEDRIFT_HELD_BYTES" default:"536870912" min:"1048576" max:"68719476736" unit:"bytes" help:"memory for bodies and answers of waiting callers; more is refused"`
