--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -27,9 +27,11 @@
 	switch {
 	case j.sent > 0:
 		return structs.OutcomeMayHaveRun
+	case !j.proven && (j.count == 0 || j.started() < j.count):
+		return structs.OutcomeMayHaveRun
 	case j.started() > 0:
 		return structs.OutcomeFailed
-	case !j.proven || p.mode == Suspended:
+	case p.mode == Suspended:
 		// While the owner is suspended, another one may have taken over and run the job under the same key.
 		return structs.OutcomeMayHaveRun
 	}
@@ -262,5 +264,9 @@
 	if capacity == 0 {
 		return 0
 	}
-	return time.Duration(float64(p.expectedWork(class)) / capacity)
+	work := p.queue.Work(structs.Urgent)
+	if class == structs.Routine {
+		work += p.queue.Work(structs.Routine)
+	}
+	return time.Duration(float64(work) / capacity)
 }
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -3,23 +3,23 @@
 import (
 	"slices"
 
-	"rosedrift.example/rosedrift/internal/placement"
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
 // handleEvents applies the task events of an agent. Events that do not fit the state are ignored and counted.
 func (p *Pool) handleEvents(in Events) {
 	a, ok := p.agents[in.Agent]
-	if !ok {
+	if !ok || in.Epoch > p.options.Epoch {
 		p.stats.LateEvents += uint64(len(in.Events))
 		return
 	}
 	for i := range in.Events {
-		p.handleEvent(a, &in.Events[i])
+		p.handleEvent(a, &in.Events[i], in)
 	}
 }
 
-func (p *Pool) handleEvent(a *agent, event *structs.TaskEvent) {
+// handleEvent applies one event of a batch.
+func (p *Pool) handleEvent(a *agent, event *structs.TaskEvent, batch Events) {
 	j := p.jobs[event.Task.Job.Key]
 	index := event.Task.Index
 	if j == nil || j.id != event.Task.Job || j.state == jobEnded {
@@ -36,7 +36,11 @@
 	case structs.TaskFailed:
 		p.failed(j, a, event)
 	case structs.TaskRefused, structs.TaskWithdrawn:
-		p.returnTask(j, a, event)
+		if batch.Epoch != 0 && batch.Epoch != p.options.Epoch {
+			p.late(event)
+			return
+		}
+		p.returnTask(j, a, event, batch.Unsent)
 	case structs.TaskAborted:
 		p.aborted(j, event)
 	case structs.TaskNotWithdrawn:
@@ -89,8 +93,15 @@
 }
 
 func (p *Pool) failed(j *job, a *agent, event *structs.TaskEvent) {
+	index := event.Task.Index
+	if j.tasks[index].state == taskRecorded {
+		// The task had finished; its result was dropped before it was fetched.
+		p.endTask(j, index)
+		p.endJob(j, structs.CodeResultGone, p.outcomeNow(j), "an agent has dropped the result of a task")
+		return
+	}
 	p.stats.Failed++
-	p.endTask(j, event.Task.Index)
+	p.endTask(j, index)
 	p.index.Failed(a.server, j.sequence)
 	p.endJob(j, structs.CodeTaskFailed, structs.OutcomeFailed, "a task failed: "+event.Error)
 }
@@ -102,8 +113,9 @@
 	p.endJob(j, structs.CodeTaskFailed, structs.OutcomeFailed, "a task was aborted: "+event.Error)
 }
 
-// returnTask puts a task back that provably has not started. Tasks with a start record cannot be returned.
-func (p *Pool) returnTask(j *job, a *agent, event *structs.TaskEvent) {
+// returnTask puts a task back that provably has not started. Tasks with a start record cannot be returned. unsent says
+// that the agent has not seen the start, so that no duplicate of the event can come from it.
+func (p *Pool) returnTask(j *job, a *agent, event *structs.TaskEvent, unsent bool) {
 	index := event.Task.Index
 	if j.tasks[index].state != taskSent || j.entry == nil {
 		p.late(event)
@@ -111,14 +123,13 @@
 	}
 	p.detach(j, index)
 	j.tasks[index].state, j.tasks[index].resent = taskWaiting, true
-	if j.excluded == nil {
-		j.excluded = make(map[uint32][]*placement.Server)
+	if !unsent {
+		j.exclude(index, a.ref)
 	}
-	j.excluded[index] = append(j.excluded[index], a.server)
 	j.returned = append(j.returned, index)
 	slices.Sort(j.returned)
 	p.countWaiting(j, 1)
-	p.queue.Return(j.entry, j.kind.Mean())
+	p.queue.Return(j.entry, j.kind.Work())
 	if event.Kind == structs.TaskRefused {
 		p.stats.Refused++
 		p.index.Refused(a.server)
@@ -126,3 +137,11 @@
 	}
 	p.stats.Withdrawn++
 }
+
+// exclude keeps a task from being sent to an agent again.
+func (j *job) exclude(index uint32, ref structs.AgentRef) {
+	if j.excluded == nil {
+		j.excluded = make(map[uint32][]structs.AgentRef)
+	}
+	j.excluded[index] = append(j.excluded[index], ref)
+}
--- a/internal/query/change.go
+++ b/internal/query/change.go
@@ -114,7 +114,8 @@
 	status := x.system.InForce(ctx, document.Revision)
 	text := append([]string{planned.done}, planned.effects...)
 	text = append(text, fmt.Sprintf("Accepted as revision %d at %s.", document.Revision, timeText(document.Change.Time)))
-	return &admin.Result{Text: text, Revision: document.Revision, InForce: &status}, nil
+	return &admin.Result{Text: text, Changed: true, Revision: document.Revision, AcceptedAt: document.Change.Time,
+		InForce: &status}, nil
 }
 
 // commandText is the command as the audit entry keeps it; the text of an import is in the entry's diff.
@@ -170,22 +171,25 @@
 
 // zoneEffects says what a zone change does to running and waiting work and how much capacity remains.
 func (x execution) zoneEffects(ctx context.Context, z *Zone, settings []Assignment) []string {
-	totals := totalsByZone(x.system.Agents(ctx).Items)
+	state := lastState(settings)
+	if state == "" {
+		return nil
+	}
+	agents := x.system.Agents(ctx)
+	totals := totalsByZone(agents.Items)
 	own := totals[z.Name]
 	if own == nil {
 		own = &zoneTotals{}
 	}
-	switch lastState(settings) {
-	case string(structs.ZoneIn):
-		return []string{fmt.Sprintf("%s with %s take work again, with half of the slots at first and all after 1 s.",
-			count(own.servers, "backend server"), count(own.slots, "slot"))}
-	case string(structs.ZoneOut):
-		effects := []string{fmt.Sprintf("%s with %s get no new work within 2 s; the %s that run there finish, "+
-			"waiting tasks move to other zones.", count(own.servers, "backend server"), count(own.slots, "slot"),
-			count(own.running, "task"))}
-		return append(effects, x.remaining(z.Name, totals))
+	unseen := x.unseenNotes(ctx, agents.Silent)
+	if state == string(structs.ZoneIn) {
+		text := fmt.Sprintf("%s with %s take work again, with half of the slots at first and all after 1 s.",
+			count(own.servers, "backend server"), count(own.slots, "slot"))
+		return append([]string{text}, unseen...)
 	}
-	return nil
+	text := fmt.Sprintf("%s with %s get no new work within 2 s; the %s that run there finish, waiting tasks move to "+
+		"other zones.", count(own.servers, "backend server"), count(own.slots, "slot"), count(own.running, "task"))
+	return append([]string{text, x.remaining(z.Name, totals, len(unseen) == 0)}, unseen...)
 }
 
 // lastState returns the state that a zone has after the settings, empty if they leave it.
@@ -201,7 +205,8 @@
 
 const fieldState = "state"
 
-func (x execution) remaining(without string, totals map[string]*zoneTotals) string {
+// remaining says what the other zones have. It warns only if all backend servers are seen.
+func (x execution) remaining(without string, totals map[string]*zoneTotals, seen bool) string {
 	config := x.system.Config()
 	servers, slots := 0, 0
 	var zones []string
@@ -212,7 +217,10 @@
 			slots += totals[name].slots
 		}
 	}
-	if servers == 0 {
+	switch {
+	case servers == 0 && !seen:
+		return "What remains in other zones cannot be told at the moment."
+	case servers == 0:
 		return "WARNING: no backend server remains in any other zone; no task can start."
 	}
 	return fmt.Sprintf("%s with %s remain in %s.", count(servers, "backend server"), count(slots, "slot"),
@@ -374,16 +382,17 @@
 		return nil, configuration.Problem(err)
 	}
 	text := []string{fmt.Sprintf("Job %s is cancelled: waiting tasks are dropped, running ones are aborted.", id)}
-	return &admin.Result{Data: status, Text: append(text, jobText(status)...)}, nil
+	return &admin.Result{Changed: true, Data: status, Text: append(text, jobText(status)...)}, nil
 }
 
 func (x execution) gatewayGone(ctx context.Context) (*admin.Result, *structs.Problem) {
 	name := x.command.Gateway.Name
-	if known := x.gatewayNames(ctx); !slices.Contains(known, name) {
-		return nil, unknownName("gateway", name, known)
+	if !structs.ValidName(name) {
+		return nil, badRequest("%q is no gateway name", name)
 	}
+	notes := x.unlistedNotes(ctx, name)
 	if x.request.DryRun {
-		return &admin.Result{DryRun: true, Text: []string{
+		return &admin.Result{DryRun: true, Notes: notes, Text: []string{
 			"Nothing is changed yet. Other gateways would take over the pools of gateway " + name +
 				" without hearing a majority of their backend servers.",
 			"State this only if its VM is off for good: if the gateway still runs, tasks can start twice.",
@@ -393,7 +402,17 @@
 	if err := x.system.GatewayGone(ctx, structs.GatewayID(name)); err != nil {
 		return nil, configuration.Problem(err)
 	}
-	return &admin.Result{Text: []string{
+	return &admin.Result{Changed: true, Notes: notes, Text: []string{
 		"Gateway " + name + " counts as gone from now on; its pools are taken over without waiting for a majority.",
 	}}, nil
 }
+
+// unlistedNotes points at a possible typing error. A lost gateway leaves the list with its lease, so a name that is
+// not listed is no reason to refuse.
+func (x execution) unlistedNotes(ctx context.Context, name string) []string {
+	known := x.gatewayNames(ctx)
+	if slices.Contains(known, name) {
+		return nil
+	}
+	return []string{fmt.Sprintf("Gateway %s is not among the known gateways (%s): check the name.", name, strings.Join(known, ", "))}
+}
--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -320,6 +320,8 @@
 	Wait  time.Duration
 	Count int
 	Query string
+	// Team restricts fetch, status and cancel to the jobs of one team. Empty, as sent for operators, allows all.
+	Team string
 }
 
 // ForwardReply answers a Forward. Exactly one of Answer, Status, Tickets, Problem and Data is set.
@@ -340,6 +342,10 @@
 	Pool  PoolID
 	Epoch Epoch
 	Jobs  []HandoffJob
+	// Part numbers the messages of one snapshot from 0; the last one has Last set. A snapshot can exceed the largest
+	// message of a link.
+	Part uint32
+	Last bool
 }
 
 // HandoffJob is one job of a handed-over pool.
