--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -143,6 +143,30 @@
 	require.Equal(t, document, got)
 }
 
+// TestLinkOverTLS guards against a TLS configuration that is ignored or that negotiates a protocol without upgrades.
+func TestLinkOverTLS(t *testing.T) {
+	out := newRecorder()
+	accepted := make(chan *Link, 1)
+	srv := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l, err := Accept(w, r, Options{}, out); err == nil {
+			accepted <- l
+		}
+	}))
+	defer srv.Close()
+	_, err := Dial(context.Background(), srv.URL, Options{}, newRecorder())
+	require.Equal(t, KindDial, kindOf(t, err), "an unknown authority was accepted")
+	trusted := srv.Client().Transport.(*http.Transport).TLSClientConfig
+	client, err := Dial(context.Background(), srv.URL, Options{TLS: trusted}, newRecorder())
+	require.NoError(t, err)
+	require.NoError(t, client.Send(Urgent, structs.TypeCancel, structs.Cancel{Epoch: 7}))
+	var got structs.Cancel
+	require.NoError(t, Decode(<-out.envelopes, &got))
+	require.EqualValues(t, 7, got.Epoch)
+	client.Close("")
+	<-client.Done()
+	<-(<-accepted).Done()
+}
+
 // TestQueuesKeepOrderAndBounds guards against urgent work behind routine work, reordering in a class and growth
 // without bound.
 func TestQueuesKeepOrderAndBounds(t *testing.T) {
