Estimate speeds over more tasks and wait for faster servers with a margin

Cause: run times within a kind spread over a factor of 20, so the averages of the last ten tasks ordered the servers wrongly; urgent tasks waited for faster servers without a margin for the spread of the wait; the average of all learned speeds drifted from 1, so that servers without observations looked too fast. After: tests of dispatch, fairqueue and placement pass.

--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -161,7 +161,7 @@
 }
 
 // chooseUrgent returns the fastest free server, or nil if the job's last waiting task is expected to end earlier by
-// waiting for a faster one. A job waits at most for the time that the slower server would take.
+// waiting for a faster one. A job waits at most for half the time that the slower server would take.
 func (p *Pool) chooseUrgent(j *job, excluded []*placement.Server) *placement.Server {
 	s := p.index.Fastest(j.kind, placement.AnySlot, excluded)
 	if s == nil {
@@ -173,7 +173,7 @@
 		return s
 	}
 	if j.deferredUntil == 0 {
-		j.deferredUntil = p.now + expected
+		j.deferredUntil = p.now + expected/2
 	}
 	if p.now >= j.deferredUntil {
 		return s
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -14,7 +14,7 @@
 const (
 	// admissionMargin is the share of the deadline that the expected time to the answer may take. The rest covers
 	// the error of the estimate, since work that ends after its deadline is wasted.
-	admissionMargin = 0.7
+	admissionMargin = 0.5
 	// maxRetryAfter bounds the advice to a refused caller.
 	maxRetryAfter = time.Minute
 )
--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -29,6 +29,11 @@
 	rampStart = 0.5
 	// RampTime is the time from a server's return to the use of all slots.
 	RampTime = time.Second
+	// maxOffset is the average deviation of the servers' speeds, as a power of 2, that is left uncorrected.
+	maxOffset = 0.05
+	// waitGain is the part of a slower server's run time in which the wait for a faster one must be expected to end.
+	// The margin covers the spread of the wait, which a task that starts at once does not have.
+	waitGain = 0.7
 	// demandDecay is the part of the remembered peak of urgent tasks that is left after each heldInterval.
 	demandDecay = 0.9
 	// meanWeight is the weight of the newest task in the average run time of all tasks.
@@ -66,8 +71,10 @@
 	// fast is set for the servers that urgent work needs at present.
 	fast bool
 	// speed is the base 2 logarithm of the run time relative to the kind's.
-	speed    float64
-	samples  float64
+	speed   float64
+	samples float64
+	// recent is a short average of the same.
+	recent   float64
 	rampFrom time.Duration
 	ramping  bool
 
@@ -262,12 +269,46 @@
 // NoteUrgent tells how many urgent tasks run or wait. The index remembers the peak for some seconds.
 func (x *Index) NoteUrgent(tasks int) { x.demand = max(x.demand, float64(tasks)) }
 
+// center makes the average speed of the known servers 1 again. Only the sum of a kind's and a server's estimate is
+// determined by the observations; without the correction servers without observations would look faster or slower
+// than the others.
+func (x *Index) center() {
+	var sum, count float64
+	for _, s := range x.servers {
+		if s != nil && s.samples > 0 {
+			sum += s.speed
+			count++
+		}
+	}
+	offset := sum / max(count, 1)
+	if math.Abs(offset) < maxOffset {
+		return
+	}
+	for _, s := range x.servers {
+		if s != nil && s.samples > 0 {
+			s.speed -= offset
+			s.recent -= offset
+		}
+	}
+	x.mean *= math.Exp2(offset)
+	for _, k := range x.order {
+		k.log += offset
+		k.work *= math.Exp2(offset)
+		for _, s := range x.servers {
+			if s != nil {
+				k.place(s)
+			}
+		}
+	}
+}
+
 // assignHeld gives the held-back slots to the fastest servers, one each in turn, so that urgent tasks find a fast
 // server free, and marks the fast servers that urgent work needs. Without urgent work nothing is held back.
 func (x *Index) assignHeld() {
 	if x.now >= x.heldAt+heldInterval {
 		x.heldAt = x.now
 		x.demand *= demandDecay
+		x.center()
 	}
 	x.heldStale = false
 	x.capacity = 0
@@ -401,7 +442,7 @@
 	}
 	// The busy slots run tasks of all kinds, so they get free at the rate of the average task.
 	release := rate * k.work / max(x.mean, 1)
-	return float64(waiting)/release+slots/rate < own, expected
+	return float64(waiting)/release+slots/rate < waitGain*own, expected
 }
 
 // Random returns a random server with room, without regard to free slots.
@@ -474,6 +515,12 @@
 // Finished learns the speed from a task that succeeded and closes the breaker.
 func (x *Index) Finished(s *Server, k *Kind, runTime time.Duration) {
 	k.observe(s, runTime)
+	if s.hasChanged() {
+		s.speed, s.samples = s.recent, changeSamples
+		for _, kind := range x.order {
+			kind.forget(s)
+		}
+	}
 	x.mean += meanWeight * (runTime.Seconds()*1000/s.Speed() - x.mean)
 	s.failures, s.failedJob, s.refusals = 0, 0, 0
 	x.refresh(s)
--- a/internal/placement/index_test.go
+++ b/internal/placement/index_test.go
@@ -170,3 +170,46 @@
 		}
 	})
 }
+
+// TestStragglerIsNoticed guards against estimates that follow a server's slowdown only after hundreds of tasks, and
+// against estimates that change with the spread of run times within a kind.
+func TestStragglerIsNoticed(t *testing.T) {
+	x, list := newIndex(4)
+	k := x.Kind("glaze", 0)
+	finish := func(s *Server, round, factor int) {
+		x.Finished(s, k, time.Duration(50<<(round*7%5)*factor)*time.Millisecond)
+	}
+	for round := range 300 {
+		for _, s := range list {
+			finish(s, round, 1)
+		}
+	}
+	x.Advance(time.Second)
+	x.Settle()
+	for _, s := range list {
+		require.InDelta(t, 1, s.Speed(), 0.2)
+	}
+	for round := range 15 {
+		finish(list[0], round, 10)
+	}
+	require.Greater(t, list[0].Speed(), 4.0)
+	require.Same(t, list[0], x.Slowest(k, AnySlot, nil))
+}
+
+// TestBetterWait guards against urgent tasks on slow servers while a fast one is about to get free, and against
+// waits behind a long queue.
+func TestBetterWait(t *testing.T) {
+	x, list := newIndex(2)
+	k := x.Kind("glaze", 0)
+	for range 300 {
+		x.Finished(list[0], k, 100*time.Millisecond)
+		x.Finished(list[1], k, 300*time.Millisecond)
+	}
+	wait, _ := x.BetterWait(k, list[1], 1)
+	require.True(t, wait)
+	wait, expected := x.BetterWait(k, list[1], 30)
+	require.False(t, wait)
+	require.InDelta(t, 300, expected.Milliseconds(), 30)
+	wait, _ = x.BetterWait(k, list[0], 1)
+	require.False(t, wait)
+}
--- a/internal/placement/kind.go
+++ b/internal/placement/kind.go
@@ -13,13 +13,22 @@
 	defaultRunTime = 200 * time.Millisecond
 	// maxDeclared bounds the first estimate, since declared times are far off and a too high one has work refused.
 	maxDeclared = time.Second
-	// pairWeight is the weight of the newest observation of a (server, kind) pair after the first ones.
-	pairWeight = 0.1
+	// speedWeight is the weight of the newest observation in the averages of a server and of a (server, kind) pair
+	// after the first ones. Run times within a kind spread over a factor of 20, so that a higher weight would leave an
+	// error above the differences between servers.
+	speedWeight = 0.02
+	// recentWeight is the same for the short average that notices a change of a server's speed.
+	recentWeight = 0.2
+	// changeLog is the deviation of the short average, as a power of 2, at which the old estimates are dropped: about
+	// five times its standard deviation.
+	changeLog = 2.0
+	// changeSamples is the number of observations that the new estimate counts for then.
+	changeSamples = 5
 	// kindWeight is the same for a kind over all servers.
 	kindWeight = 0.02
 	// priorSamples is the number of observations that the server's speed over all kinds counts for in the estimate
 	// of a pair.
-	priorSamples = 3.0
+	priorSamples = 20.0
 	// maxKinds bounds the memory of the index. Further kinds share the estimates of existing ones.
 	maxKinds = 256
 	// maxSpeedLog bounds the learned speed to factors from 1/64 to 64.
@@ -86,19 +95,37 @@
 	k.mean += weight * (ms - k.mean)
 	k.work += weight * (ms/s.Speed() - k.work)
 	k.log += weight * (log - s.speed - k.log)
+	s.observe(log - k.log)
+	p := &k.pairs[s.number]
+	p.samples++
+	p.log += max(1/p.samples, speedWeight) * (log - p.log)
+	k.place(s)
+}
+
+// observe learns from the logarithm of a run time relative to the kind's.
+func (s *Server) observe(relative float64) {
 	s.samples++
-	s.speed += max(1/(s.samples+priorSamples), pairWeight) * (log - k.log - s.speed)
+	s.speed += max(1/(s.samples+1), speedWeight) * (relative - s.speed)
 	s.speed = min(max(s.speed, -maxSpeedLog), maxSpeedLog)
+	s.recent += max(1/s.samples, recentWeight) * (relative - s.recent)
+}
+
+// hasChanged reports whether the server has become much faster or slower than its estimates say.
+func (s *Server) hasChanged() bool {
+	return s.samples > 2*changeSamples && math.Abs(s.recent-s.speed) > changeLog
+}
+
+// forget drops the estimate of a server that has changed.
+func (k *Kind) forget(s *Server) {
 	p := &k.pairs[s.number]
-	p.samples++
-	p.log += max(1/p.samples, pairWeight) * (log - p.log)
+	p.samples, p.log = 0, 0
 	k.place(s)
 }
 
 // expected returns the logarithm of the expected run time of a task on a server.
 func (k *Kind) expected(s *Server) float64 {
 	p := &k.pairs[s.number]
-	n := min(p.samples, 1/pairWeight)
+	n := min(p.samples, 1/speedWeight)
 	return (n*p.log + priorSamples*(k.log+s.speed)) / (n + priorSamples)
 }
 
