--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -53,6 +53,7 @@
 	notRun   map[structs.JobID]bool
 	journal  []JournalEntry
 	unsaved  []JournalEntry
+	unsent   []Input
 	// detached says that keys may have been admitted without a journal entry, backlogLost that an owner ended before
 	// it wrote them.
 	detached, backlogLost bool
@@ -100,8 +101,7 @@
 		switch a := action.(type) {
 		case SendStart:
 			m.checkStart(a)
-			f := m.agent(a.Agent)
-			f.inbox = append(f.inbox, a)
+			m.send(a)
 		case SendWithdraw:
 			f := m.agent(a.Agent)
 			f.inbox = append(f.inbox, a)
@@ -123,12 +123,35 @@
 		}
 	}
 	m.checkCounts()
+	for len(m.unsent) > 0 {
+		back := m.unsent[0]
+		m.unsent = m.unsent[1:]
+		m.step(back)
+	}
+}
+
+// send delivers a start to its agent. Now and then no link takes it: the agent is not eligible for a moment.
+func (m *model) send(a SendStart) {
+	f := m.agent(a.Agent)
+	if !m.chance(3, "unsent") {
+		f.inbox = append(f.inbox, a)
+		return
+	}
+	down := f.update
+	down.Eligible = false
+	events := Events{Agent: a.Agent, Unsent: true}
+	for _, task := range a.Start.Tasks {
+		events.Events = append(events.Events, event(task.Task, structs.TaskRefused, ""))
+	}
+	up := f.update
+	up.Relinked = true
+	m.unsent = append(m.unsent, down, events, up)
 }
 
 func (m *model) checkStart(a SendStart) {
 	f := m.agent(a.Agent)
 	require.True(m, m.mode == Attached || m.mode == Detached, "start in mode %d", m.mode)
-	require.True(m, f.linked && m.config.ZoneAllows(testPool.Service, f.update.Zone), "start at an agent out of service")
+	require.True(m, f.linked && !f.update.Leaving && m.config.ZoneAllows(testPool.Service, f.update.Zone), "start at an agent out of service")
 	for _, task := range a.Start.Tasks {
 		sub := m.sub(task.Task.Job)
 		isSaved := slices.ContainsFunc(m.journal, func(e JournalEntry) bool { return e.Key == task.Task.Job.Key })
@@ -299,8 +322,13 @@
 	}
 }
 
-// evict drops the oldest result.
-func (a *fakeAgent) evict() {
+// leaveOrEvict drops the oldest result, or starts or ends the leaving of the backend server.
+func (m *model) leaveOrEvict(a *fakeAgent) {
+	if a.linked && m.chance(40, "leaving") {
+		a.update.Leaving = !a.update.Leaving
+		m.step(a.update)
+		return
+	}
 	for _, r := range a.records {
 		if r.state == structs.RecordFinished {
 			r.state = structs.RecordEvicted
@@ -537,7 +565,7 @@
 	case op < 93:
 		a.refusing = !a.refusing
 	case op < 94:
-		a.evict()
+		m.leaveOrEvict(a)
 	case op < 96:
 		m.toggleZone()
 	case op < 98:
@@ -556,6 +584,10 @@
 		m.save()
 		for _, a := range m.agents {
 			a.refusing = false
+			if a.linked && a.update.Leaving {
+				a.update.Leaving = false
+				m.step(a.update)
+			}
 			for len(a.inbox) > 0 {
 				m.act(a)
 			}
