Keep keys as long as the agents keep start records

Cause: an agent takes a start whose key and index it has a record of for a repeated message and answers with the old result. Records last 15 min after the end of a task and keys lasted 10 min, so a key used again in between would have been answered with results of the earlier job. After: results go after 10 min as before, keys after 15 min and 10 s.

--- a/internal/dispatch/adopt.go
+++ b/internal/dispatch/adopt.go
@@ -20,7 +20,7 @@
 func (p *Pool) endRecovery(doubt bool) {
 	p.adopted = true
 	if doubt {
-		p.doubtUntil = p.now + p.options.Retention
+		p.doubtUntil = p.now + p.keyRetention()
 	}
 	p.adoptedAt = p.now
 	p.noServerSince = p.now
@@ -67,7 +67,7 @@
 		repeatable: true,
 		proven:     proven,
 	}
-	p.addJob(j, p.now+p.options.Retention+structs.DefaultMaxDeadline)
+	p.addJob(j, p.now+p.keyRetention())
 	return j
 }
 
@@ -103,6 +103,10 @@
 	found := p.applyRecords(j)
 	j.records = nil
 	switch {
+	case j.count > 0 && len(j.tasks) > j.count:
+		// Records of more tasks than the journal entry says cannot be of this job alone.
+		j.proven, j.count = false, len(j.tasks)
+		p.endUnproven(j)
 	case found.failed:
 		p.endJob(j, structs.CodeTaskFailed, structs.OutcomeFailed, "a task failed under the previous owner")
 	case found.lost:
--- a/internal/dispatch/api.go
+++ b/internal/dispatch/api.go
@@ -204,7 +204,8 @@
 type Options struct {
 	Pool  structs.PoolID
 	Epoch structs.Epoch
-	// Retention is how long ended jobs stay known. RetentionOnce applies to the keys of jobs that are not
+	// Retention is how long the answers of ended jobs are kept. Their keys stay known for the longest deadline more,
+	// as long as the agents' start records. RetentionOnce applies to the keys of jobs that are not
 	// repeatable.
 	Retention     time.Duration
 	RetentionOnce time.Duration
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -276,9 +276,15 @@
 	j.resultsGone = true
 }
 
-// forget ends the retention of jobs whose time has come.
+// keyRetention is how long the key of an ended job stays known. It outlasts the agents' start records: an agent takes
+// a start with the key and index of a record for a repeated message and answers with the old result.
+func (p *Pool) keyRetention() time.Duration {
+	return p.options.Retention + max(p.config.Limits.MaxDeadline, structs.DefaultMaxDeadline) + recordMargin
+}
+
+// forget ends the retention of jobs whose time has come. Results go after Retention, keys after keyRetention.
 func (p *Pool) forget() {
-	p.forgetRing(&p.ended.repeatable, p.options.Retention)
+	p.forgetRing(&p.ended.repeatable, p.keyRetention())
 	p.forgetRing(&p.ended.once, p.options.RetentionOnce)
 	for j := p.ended.withResults.peek(); j != nil && p.now >= j.endedAt+p.options.Retention; j = p.ended.withResults.peek() {
 		p.dropResults(j)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -11,10 +11,13 @@
 
 // Retention of keys and answers.
 const (
-	// DefaultRetention is how long the key and answer of an ended job stay known.
+	// DefaultRetention is how long the answer of an ended job is kept.
 	DefaultRetention = 10 * time.Minute
 	// DefaultRetentionOnce applies to the keys of jobs that are not repeatable.
 	DefaultRetentionOnce = 24 * time.Hour
+	// recordMargin covers the time between the end of a job and the end of its last task at an agent, and the
+	// message that reports it.
+	recordMargin = 10 * time.Second
 	// MaxResultBytes bounds the results of ended jobs that the pool keeps.
 	MaxResultBytes = 128 << 20
 )
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -202,8 +202,11 @@
 	require.Equal(t, structs.OutcomeComplete, problem.Outcome)
 	only[Finish](t, p.Step(0, Wait{Job: submission("1", 1).Job}))
 	p.Step(DefaultRetention, Tick{})
-	require.Empty(t, p.jobs)
 	require.Zero(t, p.ended.bytes)
+	// The agents still have start records of the key, so it must not run as a new job yet.
+	require.Equal(t, []structs.Code{structs.CodeResultGone}, problems(p.Step(DefaultRetention, Wait{Job: submission("1", 1).Job})))
+	p.Step(p.keyRetention(), Tick{})
+	require.Empty(t, p.jobs)
 }
 
 // TestTicketsExpire guards against a second run under a ticket whose job has been forgotten.
