Abort tasks of failed jobs when a lost agent comes back

Cause: the slots of a lost agent count as free when the same incarnation returns, but its tasks run on until their timeout, so new starts would be queued or refused.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -54,6 +54,7 @@
 	if in.Leaving && !wasLeaving {
 		p.withdrawQueued(a)
 	}
+	p.abortLost(a)
 	if first || in.Relinked {
 		p.fetchAgent(a, in.Relinked)
 	}
@@ -82,6 +83,7 @@
 	a.lost = true
 	a.update.Eligible = false
 	p.refreshAgent(a, false)
+	p.rememberLost(a)
 	for len(a.tasks) > 0 {
 		j := a.tasks[len(a.tasks)-1].job
 		p.endJob(j, structs.CodeServerLost, p.outcomeNow(j), "server "+string(ref.ID)+" was lost")
@@ -91,6 +93,33 @@
 	p.index.Leave(a.server)
 }
 
+// rememberLost keeps the jobs with tasks at a lost agent, to abort them if the same incarnation comes back.
+func (p *Pool) rememberLost(a *agent) {
+	if len(p.lostJobs) >= maxLostAgents {
+		clear(p.lostJobs)
+	}
+	var jobs []structs.JobID
+	for _, t := range a.tasks {
+		if t.job.tasks[t.index].state == taskSent && !slices.Contains(jobs, t.job.id) {
+			jobs = append(jobs, t.job.id)
+		}
+	}
+	if len(jobs) > 0 {
+		p.lostJobs[a.ref] = jobs
+	}
+}
+
+// abortLost aborts the tasks of jobs that failed when the agent was lost. They would occupy slots that count as free.
+func (p *Pool) abortLost(a *agent) {
+	if !a.update.Eligible {
+		return
+	}
+	for _, id := range p.lostJobs[a.ref] {
+		p.emit(SendCancel{Agent: a.ref, Cancel: structs.Cancel{Epoch: p.options.Epoch, Job: id}})
+	}
+	delete(p.lostJobs, a.ref)
+}
+
 // withdrawQueued asks for the tasks that an agent may hold in its queue. Only the agent knows which of the tasks in
 // flight run, so it is asked for all of them if there are more than slots.
 func (p *Pool) withdrawQueued(a *agent) {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -26,6 +26,8 @@
 const (
 	// NoServerLimit is how long a job waits while no server is eligible.
 	NoServerLimit = 10 * time.Second
+	// maxLostAgents bounds the lost agents whose jobs are remembered.
+	maxLostAgents = 1000
 	// maxHeld bounds the requests that wait for the end of a takeover.
 	maxHeld = 100_000
 	// housekeepingInterval is the time between checks that walk over waiting jobs.
@@ -54,6 +56,8 @@
 	agents map[structs.AgentRef]*agent
 	// roster lists the agents in the order of their arrival.
 	roster []*agent
+	// lostJobs lists the jobs that may still run at lost agents.
+	lostJobs map[structs.AgentRef][]structs.JobID
 
 	jobs    map[structs.KeyHash]*job
 	waiters map[WaiterID]*job
@@ -99,6 +103,7 @@
 		queue:         fairqueue.New[*job](options.Policy != PolicyDefault),
 		index:         placement.NewIndex(options.Seed),
 		agents:        make(map[structs.AgentRef]*agent),
+		lostJobs:      make(map[structs.AgentRef][]structs.JobID),
 		jobs:          make(map[structs.KeyHash]*job),
 		waiters:       make(map[WaiterID]*job),
 		noServerSince: now,
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -164,6 +164,17 @@
 	require.Equal(t, structs.OutcomeMayHaveRun, answer.Outcome)
 }
 
+// TestReturningAgentAbortsLostTasks guards against slots that a lost agent fills with tasks of failed jobs.
+func TestReturningAgentAbortsLostTasks(t *testing.T) {
+	p := newTestPool(1)
+	p.Step(0, Submit{Submission: submission("a", 3), Waiter: 1})
+	lost := only[Finish](t, p.Step(0, AgentLost{Agent: testAgent(0).Agent})).Answer
+	require.Equal(t, structs.CodeServerLost, lost.Problem.Code)
+	require.Equal(t, structs.OutcomeMayHaveRun, lost.Outcome)
+	require.Equal(t, submission("a", 3).Job, only[SendCancel](t, p.Step(time.Second, testAgent(0))).Cancel.Job)
+	require.Empty(t, p.Step(time.Second, testAgent(0)))
+}
+
 // TestZoneOutMovesQueuedTasks guards against prefetched tasks that stay in a zone that is out.
 func TestZoneOutMovesQueuedTasks(t *testing.T) {
 	p := newTestPool(2)
