--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -164,6 +164,17 @@
 	require.Equal(t, structs.OutcomeMayHaveRun, answer.Outcome)
 }
 
+// TestReturningAgentAbortsLostTasks guards against slots that a lost agent fills with tasks of failed jobs.
+func TestReturningAgentAbortsLostTasks(t *testing.T) {
+	p := newTestPool(1)
+	p.Step(0, Submit{Submission: submission("a", 3), Waiter: 1})
+	lost := only[Finish](t, p.Step(0, AgentLost{Agent: testAgent(0).Agent})).Answer
+	require.Equal(t, structs.CodeServerLost, lost.Problem.Code)
+	require.Equal(t, structs.OutcomeMayHaveRun, lost.Outcome)
+	require.Equal(t, submission("a", 3).Job, only[SendCancel](t, p.Step(time.Second, testAgent(0))).Cancel.Job)
+	require.Empty(t, p.Step(time.Second, testAgent(0)))
+}
+
 // TestZoneOutMovesQueuedTasks guards against prefetched tasks that stay in a zone that is out.
 func TestZoneOutMovesQueuedTasks(t *testing.T) {
 	p := newTestPool(2)
@@ -202,8 +213,11 @@
 	require.Equal(t, structs.OutcomeComplete, problem.Outcome)
 	only[Finish](t, p.Step(0, Wait{Job: submission("1", 1).Job}))
 	p.Step(DefaultRetention, Tick{})
-	require.Empty(t, p.jobs)
 	require.Zero(t, p.ended.bytes)
+	// The agents still have start records of the key, so it must not run as a new job yet.
+	require.Equal(t, []structs.Code{structs.CodeResultGone}, problems(p.Step(DefaultRetention, Wait{Job: submission("1", 1).Job})))
+	p.Step(p.keyRetention(), Tick{})
+	require.Empty(t, p.jobs)
 }
 
 // TestTicketsExpire guards against a second run under a ticket whose job has been forgotten.
