--- a/internal/gateway/api.go
+++ b/internal/gateway/api.go
@@ -80,7 +80,26 @@
 	return min(wait, maxWait), nil
 }
 
-func (g *Gateway) service(name string) (structs.ServiceConfig, *structs.Problem) {
+// awaitConfig waits for the first configuration and reports whether it has come in time.
+func (g *Gateway) awaitConfig(ctx context.Context) bool {
+	timer := time.NewTimer(askLimit)
+	defer timer.Stop()
+	select {
+	case <-g.config.known:
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
+// service returns the settings of a service. A gateway that has just started waits for the configuration.
+func (g *Gateway) service(ctx context.Context, name string) (structs.ServiceConfig, *structs.Problem) {
+	if !isClosed(g.config.known) && !g.awaitConfig(ctx) {
+		p := refusal(structs.CodeUnavailable, "the gateway has not read the configuration yet")
+		p.RetryAfter = time.Second
+		return structs.ServiceConfig{}, p
+	}
 	service, ok := g.config.current().Services[name]
 	if !ok {
 		return service, refusal(structs.CodeUnknownService, fmt.Sprintf("there is no service %.64q", name))
@@ -98,7 +117,7 @@
 		count = n
 	}
 	name := r.URL.Query().Get("service")
-	service, problem := g.service(name)
+	service, problem := g.service(r.Context(), name)
 	if problem != nil {
 		return problem
 	}
@@ -149,7 +168,7 @@
 	if problem != nil {
 		return problem
 	}
-	service, problem := g.service(body.service)
+	service, problem := g.service(r.Context(), body.service)
 	if problem != nil {
 		return problem
 	}
@@ -351,7 +370,7 @@
 // as pending.
 func (g *Gateway) about(ctx context.Context, f structs.Forward) (*structs.ForwardReply, *structs.Problem) {
 	f.Pool = f.Job.Pool
-	if _, problem := g.service(f.Pool.Service); problem != nil {
+	if _, problem := g.service(ctx, f.Pool.Service); problem != nil {
 		return nil, problem
 	}
 	reply, problem := g.ask(ctx, f)
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -18,6 +18,10 @@
 	g      *Gateway
 	author *configuration.Author
 
+	// known is closed when the store has been asked, or another process has sent a document.
+	known     chan struct{}
+	knownOnce sync.Once
+
 	// applying orders the application of documents: it is held from the decision until all duties know.
 	applying sync.Mutex
 
@@ -30,7 +34,7 @@
 }
 
 func newConfig(g *Gateway) *config {
-	c := &config{g: g, follower: configuration.NewFollower(), force: configuration.NewInForce()}
+	c := &config{g: g, known: make(chan struct{}), follower: configuration.NewFollower(), force: configuration.NewInForce()}
 	c.document = c.follower.Current()
 	c.author = configuration.NewAuthor(g.options.Store, configuration.AuthorOptions{Majority: c.withoutMajority})
 	return c
@@ -93,9 +97,18 @@
 	}
 	if applied {
 		c.apply(ctx, document)
+		c.markKnown()
 	}
 }
 
+// markKnown lets requests be judged by the configuration.
+func (c *config) markKnown() {
+	c.knownOnce.Do(func() {
+		c.g.health.Ready("configuration")
+		close(c.known)
+	})
+}
+
 // apply passes a new document to all duties.
 func (c *config) apply(ctx context.Context, document *structs.Configuration) {
 	_ = level.Info(c.g.logger).Log("msg", "configuration applied", "revision", document.Revision,
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -39,6 +39,8 @@
 	// mu guards the machine. Pool runners ask it for their mode before they start tasks.
 	mu      sync.Mutex
 	machine *ownership.Machine
+	// deferred are the actions of stepNow, which the control duty carries out before those of later steps.
+	deferred []ownership.Action
 
 	// poolsMu guards the fields below.
 	poolsMu  sync.RWMutex
@@ -112,13 +114,21 @@
 func (c *control) step(batch []ownership.Input) []ownership.Action {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var actions []ownership.Action
+	actions := c.deferred
+	c.deferred = nil
 	for _, in := range batch {
 		actions = append(actions, c.machine.Step(c.g.now(), in)...)
 	}
 	return actions
 }
 
+// stepNow passes an input to the machine in the caller's goroutine. The control duty carries out the actions.
+func (c *control) stepNow(in ownership.Input) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deferred = append(c.deferred, c.machine.Step(c.g.now(), in)...)
+}
+
 // execute carries out the machine's orders. It holds no lock while it waits for a runner's queue.
 func (c *control) execute(ctx context.Context, actions []ownership.Action) {
 	for _, action := range actions {
@@ -128,7 +138,9 @@
 		case ownership.SendFence:
 			c.g.agents.send(a.Agent, link.Control, structs.TypeFence, a.Fence)
 		case ownership.ReadJournal:
-			c.g.spawn(func() { c.g.journal.readBack(ctx, a.Pool, a.Epoch) })
+			if r := c.runner(a.Pool); r != nil && r.epoch == a.Epoch {
+				c.g.spawn(func() { r.readJournal(r.ctx) })
+			}
 		case ownership.Acquired:
 			c.acquired(ctx, a)
 		case ownership.Adopted:
@@ -147,7 +159,7 @@
 
 func (c *control) acquired(ctx context.Context, a ownership.Acquired) {
 	_ = level.Info(c.g.logger).Log("msg", "pool acquired", "pool", a.Pool, "epoch", a.Epoch, "handover", a.Handover)
-	r := newRunner(c.g, a.Pool, a.Epoch)
+	r := newRunner(ctx, c.g, a.Pool, a.Epoch)
 	c.poolsMu.Lock()
 	old := c.runners[a.Pool]
 	c.runners[a.Pool] = r
@@ -156,7 +168,8 @@
 		old.end()
 	}
 	r.seed(c.g.config.current(), c.g.agents.ofPool(a.Pool))
-	c.g.spawn(func() { r.run(ctx) })
+	c.g.spawn(r.run)
+	c.g.spawn(func() { r.writeJournal(r.ctx) })
 	c.ownershipChanged()
 }
 
@@ -191,10 +204,11 @@
 		"mode", modeNames[a.Mode])
 	r := c.runner(a.Pool)
 	if r != nil && r.epoch == a.Epoch {
-		r.send(dispatch.Tick{})
-	}
-	if r != nil && a.Mode == dispatch.Attached {
-		c.g.journal.attached(r)
+		r.send(call(func(r *runner) {
+			r.backlogDue = a.Mode == dispatch.Attached
+			r.step(dispatch.Tick{})
+			r.checkBacklog()
+		}))
 	}
 	c.g.agents.wake()
 	c.ownershipChanged()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 
 	"rosedrift.example/rosedrift/internal/admin"
 	"rosedrift.example/rosedrift/internal/dispatch"
+	"rosedrift.example/rosedrift/internal/journal"
 	"rosedrift.example/rosedrift/internal/link"
 	"rosedrift.example/rosedrift/internal/store"
 	"rosedrift.example/rosedrift/internal/structs"
@@ -96,7 +97,7 @@
 	agents  *agents
 	peers   *peers
 	config  *config
-	journal *journalDuty
+	budget  *journal.Budget
 	custody *custodies
 	tickets *ticketCache
 	held    memory
@@ -136,11 +137,12 @@
 	if options.Metrics != nil {
 		g.scope = options.Metrics.Scope
 	}
+	g.health.NotReady("configuration", "not read yet")
 	g.control = newControl(g)
 	g.agents = newAgents(g)
 	g.peers = newPeers(g)
 	g.config = newConfig(g)
-	g.journal = newJournalDuty(g)
+	g.budget = journal.NewBudget()
 	g.custody = newCustodies()
 	g.tickets = newTicketCache(g)
 	g.metrics = newEntryMetrics(g.scope)
@@ -203,7 +205,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	g.ctx = ctx
 	duties := []func(context.Context) error{
-		g.serveAPI, g.serveLinks, g.control.run, g.renewLease, g.agents.run, g.peers.run, g.journal.run,
+		g.serveAPI, g.serveLinks, g.control.run, g.renewLease, g.agents.run, g.peers.run,
 		g.watchMembers, g.watchRecords, g.watchConfig, g.awaitStop,
 	}
 	for _, duty := range duties {
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -2,32 +2,77 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
 
 	"rosedrift.example/rosedrift/internal/dispatch"
+	"rosedrift.example/rosedrift/internal/journal"
 	"rosedrift.example/rosedrift/internal/ownership"
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
-type journalDuty struct {
-	g *Gateway
-}
+// malformedPause is the pause before a journal with a malformed entry is read again. Somebody must repair the entry:
+// without the journal the owner cannot tell which keys are known.
+const malformedPause = 5 * time.Second
 
-func newJournalDuty(g *Gateway) *journalDuty { return &journalDuty{g: g} }
+// newJournal returns the journal of a runner. Confirmed keys go back to the runner.
+func (r *runner) newJournal() *journal.Journal {
+	return journal.New(journal.Options{
+		Store:     r.g.options.Store,
+		Pool:      r.pool,
+		Epoch:     r.epoch,
+		Budget:    r.g.budget,
+		Confirmed: func(keys []structs.KeyHash) { r.send(dispatch.Journaled{Keys: keys}) },
+		Logger:    r.g.logger,
+	})
+}
 
-func (j *journalDuty) run(context.Context) error { return nil }
+// writeJournal writes keys until the runner ends. Keys that are not written then belong to jobs that have not
+// started, or to jobs of a detached owner, which the next owner knows of.
+func (r *runner) writeJournal(ctx context.Context) {
+	if err := r.journal.Run(ctx); err != nil {
+		_ = level.Error(r.g.logger).Log("msg", "journal ended", "pool", r.pool, "err", err)
+	}
+}
 
-func (j *journalDuty) append(r *runner, entries []dispatch.JournalEntry) {
-	keys := make([]structs.KeyHash, len(entries))
-	for i, e := range entries {
-		keys[i] = e.Key
+// readJournal reads the keys of all earlier owners for the recovery of the pool.
+func (r *runner) readJournal(ctx context.Context) {
+	for ctx.Err() == nil {
+		contents, err := journal.Read(ctx, r.g.options.Store, r.pool, r.epoch)
+		if err == nil {
+			r.g.control.push(ctx, ownership.JournalRead{
+				Pool: r.pool, Epoch: r.epoch, Entries: contents.Entries, RecentOnce: contents.RecentOnce,
+			})
+			return
+		}
+		if ctx.Err() == nil {
+			_ = level.Error(r.g.logger).Log("msg", "journal not read", "pool", r.pool, "err", err)
+		}
+		sleep(ctx, malformedPause)
 	}
-	go r.send(dispatch.Journaled{Keys: keys})
 }
 
-func (j *journalDuty) readBack(ctx context.Context, pool structs.PoolID, epoch structs.Epoch) {
-	j.g.control.push(ctx, ownership.JournalRead{Pool: pool, Epoch: epoch})
+// checkBacklog reports that every key is in the journal, after the pool has become attached. Runner and journal do
+// nothing between the check and the machine's step, so that no key of a detached pool slips in.
+func (r *runner) checkBacklog() {
+	if !r.backlogDue {
+		return
+	}
+	r.refreshMode()
+	if r.mode != dispatch.Attached || !r.journal.Idle() {
+		return
+	}
+	r.backlogDue = false
+	r.g.control.stepNow(ownership.BacklogWritten{Pool: r.pool})
 }
 
-func (j *journalDuty) attached(r *runner) {
-	go j.g.control.push(j.g.ctx, ownership.BacklogWritten{Pool: r.pool})
+// journalFull reports whether a submission needs a place in the journal that is not there. Only a store that has been
+// down for very long fills it.
+func (r *runner) journalFull(s *structs.Submission) bool {
+	if s.Ticketed || !r.journal.Full(1) {
+		return false
+	}
+	_, known := r.machine.Status(s.Job, r.g.now())
+	return !known
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -103,6 +103,7 @@
 	for id, known := range p.byID {
 		known.unlisted = !seen[id]
 	}
+	p.g.budget.SetGateways(len(list))
 	slices.Sort(list)
 	if !slices.Equal(list, p.list) {
 		p.list = list
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"rosedrift.example/rosedrift/internal/dispatch"
+	"rosedrift.example/rosedrift/internal/journal"
 	"rosedrift.example/rosedrift/internal/link"
 	"rosedrift.example/rosedrift/internal/structs"
 )
@@ -35,6 +35,8 @@
 	cancelWait = 5 * time.Second
 	// acceptWait bounds how long a submission waits for the end of a recovery before it is presented again.
 	acceptWait = 15 * time.Second
+	// journalRetryAfter is advised when the journal is full.
+	journalRetryAfter = 5 * time.Second
 	// maxForwardWait bounds how long one request is held at the owner.
 	maxForwardWait = time.Minute
 	// retention and retentionOnce are the retention periods of the pool (docs/design.md, section 4).
@@ -94,10 +96,12 @@
 	events   chan dispatch.Events
 	urgent   chan *request
 	routine  chan *request
-	// ending is closed by end, done when the goroutine has answered all requests.
-	ending  chan struct{}
-	endOnce sync.Once
+	// ctx ends with the gateway or by end, which makes the goroutine answer waiting requests as misdirected. done is
+	// closed then.
+	ctx     context.Context
+	end     context.CancelFunc
 	done    chan struct{}
+	journal *journal.Journal
 
 	// The fields below belong to the goroutine.
 	machine *dispatch.Pool
@@ -106,7 +110,9 @@
 	byWait  dispatch.WaiterID
 	mode    dispatch.Mode
 	adopted bool
-	frozen  bool
+	// backlogDue is true from the change to attached until all keys are in the journal.
+	backlogDue bool
+	frozen     bool
 	// follow holds inputs that result from carrying out the machine's orders. They are passed in after the orders
 	// at hand, so that these keep their sequence.
 	follow  []dispatch.Input
@@ -115,26 +121,30 @@
 	metrics poolMetrics
 }
 
-func newRunner(g *Gateway, pool structs.PoolID, epoch structs.Epoch) *runner {
+func newRunner(parent context.Context, g *Gateway, pool structs.PoolID, epoch structs.Epoch) *runner {
 	options := dispatch.Options{
 		Pool: pool, Epoch: epoch, Retention: retention, RetentionOnce: retentionOnce,
 		Policy: g.options.Policy, Seed: g.options.Seed,
 	}
-	return &runner{
+	ctx, end := context.WithCancel(parent)
+	r := &runner{
 		g:        g,
+		ctx:      ctx,
+		end:      end,
 		pool:     pool,
 		epoch:    epoch,
 		commands: make(chan any, commandQueue),
 		events:   make(chan dispatch.Events, eventQueue),
 		urgent:   make(chan *request, requestQueue),
 		routine:  make(chan *request, requestQueue),
-		ending:   make(chan struct{}),
 		done:     make(chan struct{}),
 		machine:  dispatch.New(g.now(), options),
 		agents:   map[structs.AgentRef]*poolAgent{},
 		waiters:  map[dispatch.WaiterID]*waiter{},
 		metrics:  newPoolMetrics(g.scope, pool),
 	}
+	r.journal = r.newJournal()
+	return r
 }
 
 // seed configures the machine before run.
@@ -169,7 +179,7 @@
 		queue = r.routine
 	}
 	select {
-	case <-r.ending:
+	case <-r.ctx.Done():
 		q.refuse(misdirected(structs.OutcomeNotRun, "the pool has another owner"))
 		return
 	default:
@@ -188,18 +198,13 @@
 	}
 }
 
-// end stops the runner. Waiting requests are answered as misdirected.
-func (r *runner) end() { r.endOnce.Do(func() { close(r.ending) }) }
-
-func (r *runner) run(ctx context.Context) {
+func (r *runner) run() {
 	defer r.finish()
 	timer := time.NewTimer(idleTick)
 	defer timer.Stop()
 	for {
 		select {
-		case <-ctx.Done():
-			return
-		case <-r.ending:
+		case <-r.ctx.Done():
 			return
 		case c := <-r.commands:
 			r.command(c)
@@ -213,7 +218,7 @@
 			r.tick()
 			timer.Reset(r.nextTick())
 		}
-		if r.frozen && !r.thaw(ctx) {
+		if r.frozen && !r.thaw() {
 			return
 		}
 		r.drain()
@@ -221,12 +226,10 @@
 }
 
 // thaw holds a frozen runner, whose snapshot is under way to a successor, and reports whether it goes on.
-func (r *runner) thaw(ctx context.Context) bool {
+func (r *runner) thaw() bool {
 	for r.frozen {
 		select {
-		case <-ctx.Done():
-			return false
-		case <-r.ending:
+		case <-r.ctx.Done():
 			return false
 		case c := <-r.commands:
 			r.command(c)
@@ -345,6 +348,7 @@
 func (r *runner) tick() {
 	now := r.g.now()
 	r.step(dispatch.Tick{})
+	r.checkBacklog()
 	if now >= r.expiry {
 		r.expire(now)
 		r.expiry = now + expiryInterval
@@ -398,6 +402,10 @@
 func (r *runner) serve(q *request) {
 	switch q.Kind {
 	case structs.ForwardSubmit:
+		if r.adopted && r.journalFull(q.Submission) {
+			q.refuse(journalFull())
+			return
+		}
 		id := r.addWaiter(q, q.Wait, classOf(q.Submission.Priority))
 		r.step(dispatch.Submit{Submission: q.Submission, Waiter: id})
 		r.holdWhileRecovering(id, q)
@@ -410,6 +418,12 @@
 	}
 }
 
+func journalFull() *structs.Problem {
+	p := refusal(structs.CodeOverloaded, "too many keys wait for the store; tickets are still accepted")
+	p.RetryAfter = journalRetryAfter
+	return p
+}
+
 // holdWhileRecovering keeps a submission that does not wait until the pool has accepted or refused it, which a
 // recovering pool does only after the takeover.
 func (r *runner) holdWhileRecovering(id dispatch.WaiterID, q *request) {
@@ -483,7 +497,7 @@
 		case dispatch.SendFetch:
 			r.tell(a.Agent, link.Urgent, structs.TypeFetchResults, &a.Fetch)
 		case dispatch.Journal:
-			r.g.journal.append(r, a.Entries)
+			r.note(a.Entries)
 		case dispatch.Finish:
 			r.finished(a)
 		case dispatch.Accepted:
@@ -496,6 +510,14 @@
 	}
 }
 
+// note passes keys to the journal. After a failure their jobs wait until their deadline; serve refuses submissions
+// before the journal is full.
+func (r *runner) note(entries []dispatch.JournalEntry) {
+	if err := r.journal.Append(entries); err != nil {
+		_ = level.Error(r.g.logger).Log("msg", "keys not journaled", "pool", r.pool, "err", err)
+	}
+}
+
 func (r *runner) finished(a dispatch.Finish) {
 	for _, id := range a.Waiters {
 		if w := r.takeWaiter(id); w != nil {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -186,6 +186,7 @@
 		for _, e := range entries {
 			offer(e)
 		}
+		g.config.markKnown()
 	}
 	apply := func(events []store.Event, _ uint64) {
 		for _, e := range events {
