Gateway: keep task events that arrive during a recovery

Cause: an agent that has answered the fence reports the end of a running task to the new owner at once. The runner passed the event to the pool before Adopt, which dropped it as unknown, and the job hung until its deadline. Before: events were stepped in at any time. The epoch is announced to agents only after the runner exists, for the same reason.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -293,12 +293,14 @@
 	return c.machine.Owner(pool)
 }
 
-// heartbeat returns the pool-dependent fields of a GatewayHeartbeat.
+// heartbeat returns the pool-dependent fields of a GatewayHeartbeat. The epoch is announced only when the runner is
+// there to take the events that agents then send.
 func (c *control) heartbeat(pool structs.PoolID) (structs.Epoch, bool) {
+	r := c.runner(pool)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	epoch, _, owned := c.machine.Mode(pool, c.g.now())
-	if !owned {
+	if !owned || r == nil || r.epoch != epoch {
 		return 0, false
 	}
 	return epoch, c.machine.DetachedFlag(pool)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -144,7 +144,7 @@
 	if r == nil || epoch > r.epoch {
 		return
 	}
-	r.deliver(dispatch.Events{Agent: h.agent.ref, Events: events})
+	r.deliver(dispatch.Events{Agent: h.agent.ref, Epoch: epoch, Events: events})
 }
 
 func (h *linkHandler) fromPeer(l *link.Link, e structs.Envelope) error {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -110,6 +110,8 @@
 	byWait  dispatch.WaiterID
 	mode    dispatch.Mode
 	adopted bool
+	// early holds the events that arrive before adopted.
+	early []dispatch.Events
 	// backlogDue is true from the change to attached until all keys are in the journal.
 	backlogDue bool
 	frozen     bool
@@ -209,7 +211,7 @@
 		case c := <-r.commands:
 			r.command(c)
 		case e := <-r.events:
-			r.step(e)
+			r.handleEvents(e)
 		case q := <-r.urgent:
 			r.serve(q)
 		case q := <-r.routine:
@@ -248,7 +250,7 @@
 // drain takes what has arrived meanwhile: events and urgent submissions first, few routine submissions.
 func (r *runner) drain() {
 	drainQueue(r, r.commands, commandQueue, r.command)
-	drainQueue(r, r.events, eventBatch, func(e dispatch.Events) { r.step(e) })
+	drainQueue(r, r.events, eventBatch, r.handleEvents)
 	drainQueue(r, r.urgent, urgentBatch, r.serve)
 	drainQueue(r, r.routine, routineBatch, r.serve)
 }
@@ -300,11 +302,9 @@
 	case call:
 		c(r)
 	case dispatch.Adopt:
-		r.adopted = true
-		r.step(c)
+		r.adopt(c)
 	case dispatch.Restore:
-		r.adopted = true
-		r.step(c)
+		r.adopt(c)
 	case dispatch.AgentLost:
 		r.forget(c)
 	case dispatch.Input:
@@ -312,6 +312,27 @@
 	}
 }
 
+// adopt ends the recovery and hands the events in that have arrived during it.
+func (r *runner) adopt(in dispatch.Input) {
+	r.adopted = true
+	r.step(in)
+	early := r.early
+	r.early = nil
+	for _, e := range early {
+		r.step(e)
+	}
+}
+
+// handleEvents passes events to the machine. Those of a recovering pool are kept until the machine knows the tasks: an
+// agent that has answered the fence reports the end of a task once, and may do so before the recovery has ended.
+func (r *runner) handleEvents(e dispatch.Events) {
+	if !r.adopted {
+		r.early = append(r.early, e)
+		return
+	}
+	r.step(e)
+}
+
 // step passes an input to the machine after the mode of this moment, so that nothing starts after the right to
 // start has lapsed.
 func (r *runner) step(in dispatch.Input) {
@@ -551,7 +572,7 @@
 			Task: a.Start.Tasks[i].Task, Kind: structs.TaskRefused, Error: "the link to the agent is down",
 		}
 	}
-	r.follow = append(r.follow, dispatch.Events{Agent: a.Agent, Events: events})
+	r.follow = append(r.follow, dispatch.Events{Agent: a.Agent, Unsent: true, Events: events})
 }
 
 // tell sends a message to an agent and reports whether the link accepted it. If not, the agent gets no starts until
