--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -36,12 +36,19 @@
 	attempts int
 	// start is the intended arrival, end the receipt of the final answer, both since the start of the run.
 	start, end time.Duration
-	// cut counts connections that ended without a response.
-	cut int
+	// cut counts connections that ended without a response, errors keeps their first texts.
+	cut    int
+	errors []string
 	// unanswered is true if the caller gave up without a final answer.
 	unanswered bool
 }
 
+// String describes the verdict for the evidence of a broken promise.
+func (v *verdict) String() string {
+	return fmt.Sprintf("job %s key %s/%s from %.3f s to %.3f s, attempts %d, cut %d, outcome %s, code %s, detail %q, errors %q",
+		v.id, v.job.Team, v.job.Key, v.start.Seconds(), v.end.Seconds(), v.attempts, v.cut, v.outcome, v.code, v.detail, v.errors)
+}
+
 // echo is the result of a backend server stand-in.
 type echo struct {
 	Echo string `json:"echo"`
@@ -181,9 +188,16 @@
 		if !errors.Is(err, errNotConnected) {
 			v.cut++
 		}
+		if len(v.errors) < 3 {
+			v.errors = append(v.errors, err.Error())
+		}
 		return false
 	}
 	v.code, v.detail = answer.Code, answer.Detail
+	if answer.Code == structs.CodeResultGone {
+		v.outcome = structs.OutcomeFailed
+		return true
+	}
 	switch answer.Outcome {
 	case "complete":
 		v.outcome, v.results = structs.OutcomeComplete, answer.Results
--- a/internal/bench/check.go
+++ b/internal/bench/check.go
@@ -49,7 +49,9 @@
 	inForce       []time.Duration
 	slotsExceeded int
 	// faults lists steps of the script that could not be carried out.
-	faults   []string
+	faults []string
+	// evidence receives a line for each broken promise that concerns one job.
+	evidence []string
 	duration time.Duration
 	// measured is the window of ratios and rates; it leaves the warm-up out.
 	measured window
@@ -72,6 +74,11 @@
 	r.Broken = o.broken(r)
 }
 
+// keep records evidence of a broken promise.
+func (o *observation) keep(format string, args ...any) {
+	o.evidence = append(o.evidence, fmt.Sprintf(format, args...))
+}
+
 // countStarts counts starts and double starts and returns the number of started tasks of each job.
 func (o *observation) countStarts(r *Result) map[string]int {
 	type task struct {
@@ -86,6 +93,7 @@
 		startsOf[s.job]++
 		if seen[key] > 1 {
 			r.StartedTwice++
+			o.keep("second start of task %d of %s at %.3f s on server %d", s.task, s.job, s.at.Seconds(), s.server)
 		}
 	}
 	r.TasksStarted = len(o.starts)
@@ -100,10 +108,12 @@
 	}
 	r.JobsOffered++
 	r.Resubmissions += v.attempts - min(v.attempts, 1)
-	if o.plannedStops {
+	if o.plannedStops && v.cut > 0 {
 		r.CutRequests += v.cut
+		o.keep("cut: %s", v)
 	}
 	if v.unanswered {
+		o.keep("unanswered: %s", v)
 		r.JobsUnanswered++
 		return
 	}
@@ -118,6 +128,7 @@
 	case structs.OutcomeNotRun:
 		if starts > 0 {
 			r.FalseNotRun++
+			o.keep("not run, but %d starts: %s", starts, v)
 		}
 		r.JobsRefused++
 	case structs.OutcomeMayHaveRun:
@@ -150,11 +161,13 @@
 	}
 	if len(v.results) != len(v.job.RunTimes) {
 		r.PartialAnswers++
+		o.keep("partial, %d of %d results: %s", len(v.results), len(v.job.RunTimes), v)
 		return
 	}
 	for i, result := range v.results {
 		if result.Echo != echoOf(v.job, i) {
 			r.WrongAnswers++
+			o.keep("wrong result %d %q: %s", i, result.Echo, v)
 			return
 		}
 	}
@@ -165,6 +178,7 @@
 		for _, w := range o.zoneOut[o.profile.Zone(s.server)] {
 			if s.at > w.from+graceAfterOut && s.at < w.to {
 				r.LateZoneStarts++
+				o.keep("start of task %d of %s at %.3f s on server %d in a zone that is out", s.task, s.job, s.at.Seconds(), s.server)
 			}
 		}
 	}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -108,6 +108,9 @@
 		Notes: []string{fmt.Sprintf("logs in %s", config.Dir)},
 	}
 	o.evaluate(result)
+	for _, line := range o.evidence {
+		_, _ = r.cluster.log.WriteString(line + "\n")
+	}
 	usageOf(result, before, after)
 	if load.Utilization < 1 {
 		result.Notes = append(result.Notes, "goodput_ratio is bounded by the offered load")
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -93,7 +93,7 @@
 }
 
 func throughputLoad(d time.Duration) Load {
-	return Load{Utilization: 3, Duration: d, Scale: 0.002, Deadline: 2 * time.Minute}
+	return Load{TaskRate: 43_000, UrgentShare: 0.05, Duration: d, Scale: 0.02, Deadline: time.Minute}
 }
 
 // run is a scenario in execution.
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -63,15 +63,26 @@
 	Deadline    time.Duration
 	// OnlyUrgent leaves routine jobs out.
 	OnlyUrgent bool
+	// TaskRate, if above 0, replaces Utilization by a number of tasks per second.
+	TaskRate float64
+	// UrgentShare, if above 0, replaces that of the profile.
+	UrgentShare float64
 }
 
 // Generate returns the arrivals of a run in the order of time. The same arguments give the same jobs.
 func Generate(p Profile, l Load, seed uint64) []Job {
 	g := generator{rng: rand.New(rand.NewPCG(seed, 0x726f7365)), profile: p, load: l}
-	capacity := p.Capacity(nil) * l.Utilization
-	g.stream(capacity*p.UrgentShare, g.urgentJob)
+	offered := p.Capacity(nil) * l.Utilization
+	if l.TaskRate > 0 {
+		offered = l.TaskRate * g.meanRunTime()
+	}
+	share := p.UrgentShare
+	if l.UrgentShare > 0 {
+		share = l.UrgentShare
+	}
+	g.stream(offered*share, g.urgentJob)
 	if !l.OnlyUrgent {
-		g.stream(capacity*(1-p.UrgentShare), g.routineJob)
+		g.stream(offered*(1-share), g.routineJob)
 	}
 	g.burst()
 	g.backlog(p.Capacity(nil))
@@ -114,6 +125,16 @@
 	}
 }
 
+// meanRunTime returns the mean run time of a task in seconds, from a sample.
+func (g *generator) meanRunTime() float64 {
+	const sample = 20_000
+	mean := 0.0
+	for range sample {
+		mean += g.runTime().Seconds() / sample
+	}
+	return mean
+}
+
 func (g *generator) burst() {
 	for range g.load.BurstJobs {
 		job := g.urgentJob()
