--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -337,6 +337,18 @@
 	}
 }
 
+// unreachable lets the agent find out that the last task it took could not be sent to the backend server.
+func (m *model) unreachable(a *fakeAgent) {
+	i := len(a.records) - 1
+	if i < 0 || a.records[i].state != structs.RecordRunning {
+		return
+	}
+	r := a.records[i]
+	a.records = a.records[:i]
+	m.started[r.task]--
+	a.report(r.epoch, event(r.task, structs.TaskRefused, ""))
+}
+
 func (m *model) endAny(a *fakeAgent, kind structs.TaskEventKind) {
 	for _, r := range a.records {
 		if r.state == structs.RecordRunning {
@@ -548,7 +560,11 @@
 	case op < 60:
 		m.endAny(a, structs.TaskFinished)
 	case op < 61:
-		m.endAny(a, structs.TaskFailed)
+		if m.chance(50, "failed") {
+			m.endAny(a, structs.TaskFailed)
+		} else {
+			m.unreachable(a)
+		}
 	case op < 80:
 		m.deliver(a, true)
 	case op < 84:
