--- a/internal/query/list.go
+++ b/internal/query/list.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"rosedrift.example/rosedrift/internal/admin"
@@ -60,7 +61,7 @@
 		list.add(name, string(cmp.Or(config.State, structs.ZoneIn)), config.Region, sum.servers, sum.slots, sum.running)
 	}
 	result := list.result()
-	result.Notes = silentNotes(agents.Silent)
+	result.Notes = e.unseenNotes(ctx, agents.Silent)
 	return result
 }
 
@@ -84,7 +85,7 @@
 			status.Running, status.Queued, status.Speed, agent.Revision, status.State)
 	}
 	result := list.result()
-	result.Notes = append(silentNotes(agents.Silent), drainingUnseen(config, agents.Items)...)
+	result.Notes = append(e.unseenNotes(ctx, agents.Silent), drainingUnseen(config, agents.Items)...)
 	return result, nil
 }
 
@@ -259,11 +260,17 @@
 
 func timeText(t time.Time) string { return t.UTC().Format(timeLayout) }
 
-// changesText keeps a row of the history on one line.
+// maxChangesText keeps a row of the history on one line of a terminal. JSON output has the whole entry.
+const maxChangesText = 60
+
 func changesText(entry configuration.HistoryEntry) string {
 	lines := len(entry.Diff) + entry.Cut
-	if lines == 1 && len(entry.Diff) == 1 {
-		return entry.Diff[0]
+	if lines != 1 || len(entry.Diff) != 1 {
+		return count(lines, "change")
+	}
+	title, _, cut := strings.Cut(entry.Diff[0], ", ")
+	if cut && len(entry.Diff[0]) > maxChangesText {
+		return title
 	}
-	return count(lines, "setting")
+	return entry.Diff[0]
 }
