--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -204,11 +204,7 @@
 		"mode", modeNames[a.Mode])
 	r := c.runner(a.Pool)
 	if r != nil && r.epoch == a.Epoch {
-		r.send(call(func(r *runner) {
-			r.backlogDue = a.Mode == dispatch.Attached
-			r.step(dispatch.Tick{})
-			r.checkBacklog()
-		}))
+		r.send(modeNote{a.Mode})
 	}
 	c.g.agents.wake()
 	c.ownershipChanged()
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -75,6 +75,9 @@
 	down   bool
 }
 
+// modeNote passes ownership.ModeChanged to a runner, which then asks for the mode of that moment.
+type modeNote struct{ mode dispatch.Mode }
+
 // call runs a function in the runner's goroutine, for queries and snapshots.
 type call func(r *runner)
 
@@ -227,16 +230,25 @@
 	}
 }
 
-// thaw holds a frozen runner, whose snapshot is under way to a successor, and reports whether it goes on.
+// thaw holds a frozen runner, whose snapshot is under way to a successor, and reports whether it goes on. Only calls
+// are served meanwhile, since any step of the machine would make the snapshot untrue.
 func (r *runner) thaw() bool {
+	var held []any
 	for r.frozen {
 		select {
 		case <-r.ctx.Done():
 			return false
 		case c := <-r.commands:
-			r.command(c)
+			if f, ok := c.(call); ok {
+				f(r)
+			} else {
+				held = append(held, c)
+			}
 		}
 	}
+	for _, c := range held {
+		r.command(c)
+	}
 	return true
 }
 
@@ -301,6 +313,10 @@
 		r.eligibilityChanged(c)
 	case call:
 		c(r)
+	case modeNote:
+		r.backlogDue = c.mode == dispatch.Attached
+		r.step(dispatch.Tick{})
+		r.checkBacklog()
 	case dispatch.Adopt:
 		r.adopt(c)
 	case dispatch.Restore:
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -147,16 +147,17 @@
 	}
 }
 
-// freeze stops the runner from handling anything and returns a snapshot of its pool.
+// freeze stops the runner from handling anything and returns a snapshot of its pool. It fails while the pool is not
+// attached or keys that were admitted without the store are not in the journal: the successor would not know these.
 func (r *runner) freeze(ctx context.Context) ([]structs.HandoffJob, bool) {
 	snapshot := make(chan []structs.HandoffJob, 1)
 	r.send(call(func(r *runner) {
-		if !r.adopted {
+		r.refreshMode()
+		if !r.adopted || r.mode != dispatch.Attached || r.backlogDue {
 			close(snapshot)
 			return
 		}
-		// The snapshot suspends the pool until the next SetMode.
-		r.frozen, r.mode = true, dispatch.Suspended
+		r.frozen = true
 		snapshot <- r.machine.Snapshot(r.g.now())
 	}))
 	select {
