--- a/internal/local/local_test.go
+++ b/internal/local/local_test.go
@@ -14,6 +14,8 @@
 	"github.com/go-kit/log"
 
 	"rosedrift.example/rosedrift/client"
+	"rosedrift.example/rosedrift/internal/link"
+	"rosedrift.example/rosedrift/internal/structs"
 	"rosedrift.example/rosedrift/internal/telemetry"
 )
 
@@ -142,6 +144,39 @@
 	whileRunning(t, func(owner *Gateway) { owner.Kill() })
 }
 
+// TestOwnerCutOff guards against false outcomes and second starts when all links of the owner break while it keeps its
+// store lease: it cannot know what its agents do, and no other gateway may take the pool over.
+func TestOwnerCutOff(t *testing.T) {
+	s, err := Start(Options{Seed: 1, Faults: true})
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	warm, err := clientOf(t, s.URLs()...).Submit(t.Context(), client.Job{Service: DefaultService, Tasks: tasks(1, 1)})
+	require.NoError(t, err)
+	require.Len(t, warm.Results, 1)
+	owner, other := ownerAndOther(t, s)
+	c := clientOf(t, other.URL)
+	job := client.Job{Service: DefaultService, Key: "order-19", Tasks: tasks(jobSize, 100), Deadline: 20 * time.Second}
+	status, err := c.Start(t.Context(), job)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return len(startsOf(s, status.Job)) > jobSize/4 }, time.Minute, 5*time.Millisecond)
+	owner.Fault.SetIn(link.Rule{Cut: true})
+	owner.Fault.SetOut(link.Rule{Cut: true})
+	time.Sleep(structs.LostAfter + time.Second)
+	owner.Fault.SetIn(link.Rule{})
+	owner.Fault.SetOut(link.Rule{})
+
+	_, err = c.Submit(t.Context(), job)
+	var refused *client.Error
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, client.OutcomeMayHaveRun, refused.Outcome)
+	after, err := c.Submit(t.Context(), client.Job{Service: DefaultService, Tasks: tasks(1, 1)})
+	require.NoError(t, err)
+	require.Len(t, after.Results, 1)
+	for task, n := range startsOf(s, status.Job) {
+		require.Equal(t, 1, n, "task %s", task)
+	}
+}
+
 // TestProgressAndCancel guards against streams without an end, and against cancelled jobs whose tasks still start.
 func TestProgressAndCancel(t *testing.T) {
 	s := start(t)
