--- a/internal/dispatch/adopt.go
+++ b/internal/dispatch/adopt.go
@@ -154,6 +154,7 @@
 			p.recordEnded(j, r.index)
 		case r.state == structs.RecordRunning:
 			p.attach(j, r.index, r.agent, taskSent)
+			j.tasks[r.index].adopted = true
 			p.index.Occupy(r.agent.server)
 		default:
 			p.attach(j, r.index, r.agent, taskRecorded)
--- a/internal/dispatch/api.go
+++ b/internal/dispatch/api.go
@@ -81,7 +81,8 @@
 type Events struct {
 	Agent structs.AgentRef
 	// Epoch is TaskEvents.Epoch; 0 stands for the pool's own. A refusal or withdrawal of a lower epoch answers a
-	// start of an earlier owner and proves nothing about a start of this one, so it is ignored.
+	// start of an earlier owner and proves nothing about a start of this one: it counts only for adopted tasks and
+	// if it is of the epoch before.
 	Epoch structs.Epoch
 	// Unsent is true for refusals made by the shell because no link took the starts. The agent has never seen them.
 	Unsent bool
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -36,7 +36,7 @@
 	case structs.TaskFailed:
 		p.failed(j, a, event)
 	case structs.TaskRefused, structs.TaskWithdrawn:
-		if batch.Epoch != 0 && batch.Epoch != p.options.Epoch {
+		if batch.Epoch != p.startEpoch(&j.tasks[index]) && (batch.Epoch != 0 || j.tasks[index].adopted) {
 			p.late(event)
 			return
 		}
@@ -49,6 +49,15 @@
 	}
 }
 
+// startEpoch returns the epoch of the start whose refusal proves that a task has not started. The record of an adopted
+// task does not tell its epoch: only the last owner's is taken, since a late refusal may be of any start before.
+func (p *Pool) startEpoch(t *task) structs.Epoch {
+	if t.adopted {
+		return p.options.Epoch - 1
+	}
+	return p.options.Epoch
+}
+
 // late counts an ignored event. The answers to the pool's own cancels are expected and do not count.
 func (p *Pool) late(event *structs.TaskEvent) {
 	switch event.Kind {
@@ -113,11 +122,12 @@
 	p.endJob(j, structs.CodeTaskFailed, structs.OutcomeFailed, "a task was aborted: "+event.Error)
 }
 
-// returnTask puts a task back that provably has not started. Tasks with a start record cannot be returned. unsent says
-// that the agent has not seen the start, so that no duplicate of the event can come from it.
+// returnTask puts a task back that provably has not started. An agent also refuses a task that it has a start record of
+// if it could not reach the backend server. unsent says that the agent has not seen the start, so that no duplicate of
+// the event can come from it.
 func (p *Pool) returnTask(j *job, a *agent, event *structs.TaskEvent, unsent bool) {
 	index := event.Task.Index
-	if j.tasks[index].state != taskSent || j.entry == nil {
+	if j.tasks[index].state != taskSent {
 		p.late(event)
 		return
 	}
@@ -128,8 +138,10 @@
 	}
 	j.returned = append(j.returned, index)
 	slices.Sort(j.returned)
-	p.countWaiting(j, 1)
-	p.queue.Return(j.entry, j.kind.Work())
+	if j.state == jobLive {
+		p.countWaiting(j, 1)
+		p.queue.Return(j.entry, j.kind.Work())
+	}
 	if event.Kind == structs.TaskRefused {
 		p.stats.Refused++
 		p.index.Refused(a.server)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -39,6 +39,8 @@
 	state    taskState
 	// resent is set once the task has been returned by an agent.
 	resent bool
+	// adopted is set while the task is sent and was sent by an earlier owner.
+	adopted bool
 }
 
 // job is one submission.
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -234,7 +234,7 @@
 		a.tasks[last] = agentTask{}
 		a.tasks = a.tasks[:last]
 	}
-	t.agent = nil
+	t.agent, t.adopted = nil, false
 	if t.state == taskRecorded {
 		j.recorded--
 		return
