--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -387,7 +387,12 @@
 	if err := o.link.Send(class, structs.TypeForward, &f); err != nil {
 		return nil, errNoOwner
 	}
-	return o.await(ctx, replies, min(f.Wait, maxForwardWait)+replyMargin)
+	wait := min(f.Wait, maxForwardWait)
+	if f.Kind == structs.ForwardSubmit {
+		// A recovering owner holds submissions until it knows the earlier keys.
+		wait = max(wait, acceptWait)
+	}
+	return o.await(ctx, replies, wait+replyMargin)
 }
 
 func (o *outbound) await(
