--- a/internal/agent/machine_test.go
+++ b/internal/agent/machine_test.go
@@ -57,9 +57,10 @@
 	revision structs.Revision
 	blocked  bool
 	stopping bool
-	// open holds received starts without a terminal event, ran those handed out, ended the tasks that have a
+	// open holds received starts without a terminal event, epochs the epoch of each, ran those handed out, ended the tasks that have a
 	// record of their end.
 	open    map[structs.TaskRef]bool
+	epochs  map[structs.TaskRef]structs.Epoch
 	ran     map[structs.TaskRef]bool
 	ended   map[structs.TaskRef]structs.TaskEventKind
 	aborted map[structs.TaskRef]bool
@@ -69,7 +70,7 @@
 func newModel(t *rapid.T) *model {
 	s := &model{
 		t: t, m: New(0, Options{Self: testSelf, Zone: testZone}), nextLink: 1, fresh: never, alive: never,
-		beats: map[LinkID][]time.Duration{}, open: map[structs.TaskRef]bool{},
+		beats: map[LinkID][]time.Duration{}, open: map[structs.TaskRef]bool{}, epochs: map[structs.TaskRef]structs.Epoch{},
 		ran: map[structs.TaskRef]bool{}, ended: map[structs.TaskRef]structs.TaskEventKind{},
 		aborted: map[structs.TaskRef]bool{},
 	}
@@ -100,6 +101,7 @@
 
 func (s *model) checkRun(task structs.TaskRef, priority structs.Priority) {
 	require.Contains(s.t, s.open, task)
+	require.Equal(s.t, s.promised, s.epochs[task], "a task started under an epoch that is not promised")
 	require.False(s.t, s.ran[task], "a task started twice")
 	require.NotContains(s.t, s.ended, task, "a task started again after its end")
 	s.ran[task] = true
@@ -190,6 +192,7 @@
 	if _, open := s.open[task]; !open {
 		if _, ended := s.ended[task]; !ended {
 			s.open[task] = true
+			s.epochs[task] = epoch
 		}
 	}
 	start := &structs.Start{Epoch: epoch, Tasks: []structs.TaskStart{{Task: task, Priority: priority}}}
@@ -279,6 +282,7 @@
 		s.stopping = true
 		s.do(Stop{})
 		s.linkUp()
+		s.start(s.links[len(s.links)-1], s.promised, testTask(9, 0), structs.Routine)
 		for task := range s.ran {
 			s.end(task, structs.TaskFinished)
 		}
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -48,6 +48,7 @@
 	complete bool
 	waiter   WaiterID
 	pending  map[WaiterID]structs.JobID
+	refusals map[WaiterID]structs.Code
 	subs     []*structs.Submission
 	started  map[structs.TaskRef]int
 	notRun   map[structs.JobID]bool
@@ -61,7 +62,7 @@
 func newModel(t *rapid.T) *model {
 	m := &model{
 		T: t, epoch: 1, complete: true, config: &structs.Configuration{Revision: 1},
-		pending: map[WaiterID]structs.JobID{}, started: map[structs.TaskRef]int{}, notRun: map[structs.JobID]bool{},
+		pending: map[WaiterID]structs.JobID{}, refusals: map[WaiterID]structs.Code{}, started: map[structs.TaskRef]int{}, notRun: map[structs.JobID]bool{},
 	}
 	m.config.Teams = map[string]structs.TeamConfig{"bakers": {MaxRunning: 9, MaxQueued: 60}}
 	m.policy = rapid.SampledFrom([]Policy{PolicyDefault, PolicyDefault, PolicyFIFO, PolicyRandom}).Draw(t, "policy")
@@ -129,6 +130,7 @@
 	f := m.agent(a.Agent)
 	require.True(m, m.mode == Attached || m.mode == Detached, "start in mode %d", m.mode)
 	require.True(m, f.linked && m.config.ZoneAllows(testPool.Service, f.update.Zone), "start at an agent out of service")
+	require.False(m, f.update.Leaving, "start at a leaving server")
 	for _, task := range a.Start.Tasks {
 		sub := m.sub(task.Task.Job)
 		isSaved := slices.ContainsFunc(m.journal, func(e JournalEntry) bool { return e.Key == task.Task.Job.Key })
@@ -160,6 +162,7 @@
 	id, ok := m.pending[w]
 	require.True(m, ok, "waiter %d is answered twice", w)
 	require.Equal(m, id, answer.Job, "crossed answer")
+	require.NotContains(m, m.refusals, w, "answer to another body under the same key")
 	delete(m.pending, w)
 	started, running := m.startsOf(id)
 	switch answer.Outcome {
@@ -183,6 +186,9 @@
 	id, ok := m.pending[a.Waiter]
 	require.True(m, ok, "waiter %d is answered twice", a.Waiter)
 	delete(m.pending, a.Waiter)
+	if code, ok := m.refusals[a.Waiter]; ok {
+		require.Equal(m, code, a.Problem.Code)
+	}
 	if a.Problem.Outcome == structs.OutcomeNotRun && a.Problem.Code != structs.CodeKeyReused {
 		started, _ := m.startsOf(id)
 		require.Zero(m, started, "not_run refusal (%s) after a start", a.Problem.Code)
@@ -479,8 +485,20 @@
 			next.Zones[zone] = structs.ZoneConfig{State: structs.ZoneOut}
 		}
 	}
+	stale := m.config
 	m.config = &next
 	m.step(Configure{Config: m.config})
+	if m.chance(30, "stale") {
+		m.step(Configure{Config: stale})
+	}
+}
+
+// toggleLeaving lets a backend server leave or announce itself again. A lost agent says so when it is linked again.
+func (m *model) toggleLeaving(a *fakeAgent) {
+	a.update.Leaving = !a.update.Leaving
+	if a.linked {
+		m.step(a.update)
+	}
 }
 
 // known applies an operation to a submission that was made before.
@@ -498,7 +516,9 @@
 		if !sub.Ticketed {
 			// A ticket's digest is known only to the pool that admitted it.
 			if _, ok := m.pool.Status(sub.Job, m.now); ok && m.pool.jobs[sub.Job.Key].hasDigest {
-				m.submit(&other)
+				w := m.newWaiter(sub.Job)
+				m.refusals[w] = structs.CodeKeyReused
+				m.step(Submit{Submission: &other, Waiter: w})
 			}
 		}
 	case 2:
@@ -538,8 +558,10 @@
 		a.refusing = !a.refusing
 	case op < 94:
 		a.evict()
-	case op < 96:
+	case op < 95:
 		m.toggleZone()
+	case op < 96:
+		m.toggleLeaving(a)
 	case op < 98:
 		m.setMode([]Mode{Attached, Attached, Detached, Suspended}[m.intn(4, "mode")])
 	default:
@@ -552,6 +574,11 @@
 	m.config = &structs.Configuration{Revision: m.config.Revision + 1}
 	m.step(Configure{Config: m.config})
 	m.setMode(Attached)
+	for _, a := range m.agents {
+		if a.update.Leaving {
+			m.toggleLeaving(a)
+		}
+	}
 	for range 100 {
 		m.save()
 		for _, a := range m.agents {
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -256,3 +256,61 @@
 	}
 	require.Equal(t, map[WaiterID]structs.Outcome{1: structs.OutcomeMayHaveRun, 2: structs.OutcomeNotRun}, outcomes)
 }
+
+// TestOnceKeyOutlivesRetention guards against a second run of a job that is not repeatable, whose key was forgotten
+// with those of repeatable jobs.
+func TestOnceKeyOutlivesRetention(t *testing.T) {
+	p := newTestPool(1)
+	for _, repeatable := range []bool{true, false} {
+		sub := submission(strconv.FormatBool(repeatable), 1)
+		sub.Ticketed, sub.Repeatable = false, repeatable
+		p.Step(0, Submit{Submission: sub})
+		p.Step(0, Journaled{Keys: []structs.KeyHash{sub.Job.Key}})
+		p.Step(0, one(testAgent(0), event(structs.TaskRef{Job: sub.Job}, structs.TaskFinished, "r")))
+	}
+	p.Step(DefaultRetentionOnce-time.Second, Tick{})
+	_, ok := p.Status(submission("true", 1).Job, DefaultRetentionOnce-time.Second)
+	require.False(t, ok)
+	status, _ := p.Status(submission("false", 1).Job, DefaultRetentionOnce-time.Second)
+	require.Equal(t, structs.OutcomeComplete, status.Outcome)
+	p.Step(DefaultRetentionOnce, Tick{})
+	require.Empty(t, p.jobs)
+}
+
+// adopted returns an attached pool of epoch 2 after a takeover, with one agent.
+func adopted(in Adopt) *Pool {
+	p := New(0, Options{Pool: testPool, Epoch: 2})
+	p.Step(0, in)
+	p.Step(0, SetMode{Mode: Attached})
+	p.Step(0, testAgent(0))
+	return p
+}
+
+// TestOldOnceKeyIsNotUnstarted guards against a second run of a job that is not repeatable, whose start records have
+// ended long before the takeover: without a record only a recent key proves that nothing has started.
+func TestOldOnceKeyIsNotUnstarted(t *testing.T) {
+	sub := submission("a", 1)
+	sub.Ticketed, sub.Repeatable = false, false
+	entry := JournalEntry{Key: sub.Job.Key, Digest: sub.Digest, Tasks: 1}
+	for _, recent := range [][]structs.KeyHash{nil, {sub.Job.Key}} {
+		p := adopted(Adopt{Complete: true, Journal: []JournalEntry{entry}, RecentOnce: recent})
+		actions := p.Step(0, Submit{Submission: sub, Waiter: 1})
+		require.Len(t, starts(actions), len(recent))
+		if recent == nil {
+			require.Equal(t, structs.OutcomeMayHaveRun, only[Finish](t, actions).Answer.Outcome)
+		}
+	}
+}
+
+// TestDoubtRefusesUnknownKeys guards against a second run of a key that a detached owner admitted without a journal
+// entry, when not all agents could be asked.
+func TestDoubtRefusesUnknownKeys(t *testing.T) {
+	sub := submission("a", 1)
+	sub.Ticketed = false
+	p := adopted(Adopt{Doubt: true})
+	problem := only[Refuse](t, p.Step(DefaultRetention-time.Second, Submit{Submission: sub})).Problem
+	require.Equal(t, structs.CodeInDoubt, problem.Code)
+	require.Equal(t, structs.OutcomeMayHaveRun, problem.Outcome)
+	p.Step(DefaultRetention, Submit{Submission: sub})
+	require.Len(t, starts(p.Step(DefaultRetention, Journaled{Keys: []structs.KeyHash{sub.Job.Key}})), 1)
+}
