--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -11,10 +11,13 @@
 
 // Retention of keys and answers.
 const (
-	// DefaultRetention is how long the key and answer of an ended job stay known.
+	// DefaultRetention is how long the answer of an ended job is kept.
 	DefaultRetention = 10 * time.Minute
 	// DefaultRetentionOnce applies to the keys of jobs that are not repeatable.
 	DefaultRetentionOnce = 24 * time.Hour
+	// recordMargin covers the time between the end of a job and the end of its last task at an agent, and the
+	// message that reports it.
+	recordMargin = 10 * time.Second
 	// MaxResultBytes bounds the results of ended jobs that the pool keeps.
 	MaxResultBytes = 128 << 20
 )
@@ -23,6 +26,8 @@
 const (
 	// NoServerLimit is how long a job waits while no server is eligible.
 	NoServerLimit = 10 * time.Second
+	// maxLostAgents bounds the lost agents whose jobs are remembered.
+	maxLostAgents = 1000
 	// maxHeld bounds the requests that wait for the end of a takeover.
 	maxHeld = 100_000
 	// housekeepingInterval is the time between checks that walk over waiting jobs.
@@ -51,6 +56,8 @@
 	agents map[structs.AgentRef]*agent
 	// roster lists the agents in the order of their arrival.
 	roster []*agent
+	// lostJobs lists the jobs that may still run at lost agents.
+	lostJobs map[structs.AgentRef][]structs.JobID
 
 	jobs    map[structs.KeyHash]*job
 	waiters map[WaiterID]*job
@@ -96,6 +103,7 @@
 		queue:         fairqueue.New[*job](options.Policy != PolicyDefault),
 		index:         placement.NewIndex(options.Seed),
 		agents:        make(map[structs.AgentRef]*agent),
+		lostJobs:      make(map[structs.AgentRef][]structs.JobID),
 		jobs:          make(map[structs.KeyHash]*job),
 		waiters:       make(map[WaiterID]*job),
 		noServerSince: now,
