--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -48,6 +48,7 @@
 	complete bool
 	waiter   WaiterID
 	pending  map[WaiterID]structs.JobID
+	refusals map[WaiterID]structs.Code
 	subs     []*structs.Submission
 	started  map[structs.TaskRef]int
 	notRun   map[structs.JobID]bool
@@ -62,7 +63,7 @@
 func newModel(t *rapid.T) *model {
 	m := &model{
 		T: t, epoch: 1, complete: true, config: &structs.Configuration{Revision: 1},
-		pending: map[WaiterID]structs.JobID{}, started: map[structs.TaskRef]int{}, notRun: map[structs.JobID]bool{},
+		pending: map[WaiterID]structs.JobID{}, refusals: map[WaiterID]structs.Code{}, started: map[structs.TaskRef]int{}, notRun: map[structs.JobID]bool{},
 	}
 	m.config.Teams = map[string]structs.TeamConfig{"bakers": {MaxRunning: 9, MaxQueued: 60}}
 	m.policy = rapid.SampledFrom([]Policy{PolicyDefault, PolicyDefault, PolicyFIFO, PolicyRandom}).Draw(t, "policy")
@@ -183,6 +184,7 @@
 	id, ok := m.pending[w]
 	require.True(m, ok, "waiter %d is answered twice", w)
 	require.Equal(m, id, answer.Job, "crossed answer")
+	require.NotContains(m, m.refusals, w, "answer to another body under the same key")
 	delete(m.pending, w)
 	started, running := m.startsOf(id)
 	switch answer.Outcome {
@@ -206,6 +208,9 @@
 	id, ok := m.pending[a.Waiter]
 	require.True(m, ok, "waiter %d is answered twice", a.Waiter)
 	delete(m.pending, a.Waiter)
+	if code, ok := m.refusals[a.Waiter]; ok {
+		require.Equal(m, code, a.Problem.Code)
+	}
 	if a.Problem.Outcome == structs.OutcomeNotRun && a.Problem.Code != structs.CodeKeyReused {
 		started, _ := m.startsOf(id)
 		require.Zero(m, started, "not_run refusal (%s) after a start", a.Problem.Code)
@@ -519,8 +524,12 @@
 			next.Zones[zone] = structs.ZoneConfig{State: structs.ZoneOut}
 		}
 	}
+	stale := m.config
 	m.config = &next
 	m.step(Configure{Config: m.config})
+	if m.chance(30, "stale") {
+		m.step(Configure{Config: stale})
+	}
 }
 
 // known applies an operation to a submission that was made before.
@@ -538,7 +547,9 @@
 		if !sub.Ticketed {
 			// A ticket's digest is known only to the pool that admitted it.
 			if _, ok := m.pool.Status(sub.Job, m.now); ok && m.pool.jobs[sub.Job.Key].hasDigest {
-				m.submit(&other)
+				w := m.newWaiter(sub.Job)
+				m.refusals[w] = structs.CodeKeyReused
+				m.step(Submit{Submission: &other, Waiter: w})
 			}
 		}
 	case 2:
