Keep refusals as not run true against late messages; answer an ended wait with the whole answer

Cause 2: 5 answers were 'complete' without results: the wait ended when the job had, and the status was sent. After: the owner remembers refusals and repeats them for requests that may be older; the end of a wait fetches the answer. The new tests fail without the change.

--- a/internal/dispatch/api.go
+++ b/internal/dispatch/api.go
@@ -59,6 +59,8 @@
 type Submit struct {
 	Submission *structs.Submission
 	Waiter     WaiterID
+	// Age is the time since the caller's request arrived at its entry gateway.
+	Age time.Duration
 }
 
 // Wait adds a waiter to a known job. For an unknown job the action is Refuse with CodeNotFound.
--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -139,6 +139,7 @@
 	}
 	p.housekeepingAt = p.now + housekeepingInterval
 	p.forget()
+	p.refusals.forget(p.now)
 	p.unpark()
 	p.urgentShare.roll(p.now)
 	p.expireUnseen()
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -64,8 +64,10 @@
 	live    jobList
 	timers  timerHeap
 	ended   endedJobs
-	held    []Input
-	parked  []*job
+	// refusals are the submissions that were refused as not run a short time ago.
+	refusals refusals
+	held     []Input
+	parked   []*job
 
 	sequence      uint64
 	tickets       uint64
@@ -107,6 +109,7 @@
 		jobs:          make(map[structs.KeyHash]*job),
 		waiters:       make(map[WaiterID]*job),
 		noServerSince: now,
+		refusals:      refusals{last: make(map[structs.KeyHash]refused)},
 	}
 	p.applyService()
 	return p
--- /dev/null
+++ b/internal/dispatch/refusals_test.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// TestRefusalStaysTrue guards against a late message of a request that runs after a later request with the same key
+// was refused as not run.
+func TestRefusalStaysTrue(t *testing.T) {
+	pool := New(0, Options{Pool: structs.PoolID{Service: "orders"}, Epoch: 1})
+	pool.Step(0, Adopt{Complete: true})
+	pool.Step(0, SetMode{Mode: Suspended})
+	sub := &structs.Submission{
+		Job:      structs.JobID{Pool: structs.PoolID{Service: "orders"}, Key: structs.HashKey("t", "k")},
+		Team:     "t",
+		Payloads: [][]byte{[]byte("x")},
+	}
+	now := 10 * time.Second
+	requireRefused(t, pool.Step(now, Submit{Submission: sub, Waiter: 1}))
+	pool.Step(now, SetMode{Mode: Attached})
+
+	// The caller submits again at once: this cannot be told from a late message.
+	requireRefused(t, pool.Step(now+time.Second, Submit{Submission: sub, Waiter: 3}))
+	// The request was taken in 5 s before the refusal and arrives 4 s after it.
+	requireRefused(t, pool.Step(now+4*time.Second, Submit{Submission: sub, Waiter: 2, Age: 9 * time.Second}))
+	// The caller submits again after the advised time.
+	actions := pool.Step(now+5*time.Second, Submit{Submission: sub, Waiter: 4})
+	require.Contains(t, actions, Action(Accepted{Waiter: 4, Status: actions[0].(Accepted).Status}))
+}
+
+func requireRefused(t *testing.T, actions []Action) {
+	t.Helper()
+	require.NotEmpty(t, actions)
+	refuse, ok := actions[0].(Refuse)
+	require.True(t, ok, "%T", actions[0])
+	require.Equal(t, structs.OutcomeNotRun, refuse.Problem.Outcome)
+}
+
+// TestRefusalsAreForgotten guards against memory that grows with every refusal.
+func TestRefusalsAreForgotten(t *testing.T) {
+	r := refusals{last: make(map[structs.KeyHash]refused)}
+	problem := problemOf(structs.CodeOverloaded, structs.OutcomeNotRun, "full")
+	for i := range 100 {
+		r.note(time.Duration(i)*time.Second, structs.HashKey("t", string(rune(i))), problem)
+	}
+	r.forget(50*time.Second + refusalRetention)
+	require.Len(t, r.last, 49)
+	require.Len(t, r.order, 49)
+}
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -55,7 +55,12 @@
 		p.resubmit(j, in)
 		return
 	}
+	if problem := p.refusals.repeat(p.now, in); problem != nil {
+		p.refuse(in.Waiter, problem)
+		return
+	}
 	if problem := p.refusal(sub); problem != nil {
+		p.refusals.note(p.now, sub.Job.Key, problem)
 		p.refuse(in.Waiter, problem)
 		return
 	}
--- a/internal/gateway/api.go
+++ b/internal/gateway/api.go
@@ -304,7 +304,12 @@
 	limitWrite(w)
 	status := k.status.Load()
 	if k.waits {
-		status = g.statusOf(r.Context(), k)
+		reply := g.stateOf(r.Context(), k)
+		if reply.Answer != nil {
+			g.writeCounted(w, reply.Answer)
+			return
+		}
+		status = reply.Status
 	}
 	if status == nil {
 		status = k.unknownStatus()
@@ -312,16 +317,17 @@
 	writeJSON(w, http.StatusAccepted, newStatusBody(status, k.key))
 }
 
-// statusOf asks the owner for the state of a job whose answer has not come in time.
-func (g *Gateway) statusOf(ctx context.Context, k *custodyOf) *structs.JobStatus {
+// stateOf asks the owner for the state of a job whose answer has not come in time. The job may have ended meanwhile;
+// then the reply has the whole answer, since a status of a complete job would lack its results.
+func (g *Gateway) stateOf(ctx context.Context, k *custodyOf) *structs.ForwardReply {
 	job := k.submission.Job
 	reply, _, err := g.exchange(ctx, structs.Forward{
-		Kind: structs.ForwardStatus, Pool: job.Pool, Job: job, Team: k.submission.Team,
+		Kind: structs.ForwardFetch, Pool: job.Pool, Job: job, Team: k.submission.Team,
 	})
 	if err != nil {
-		return nil
+		return &structs.ForwardReply{}
 	}
-	return reply.Status
+	return reply
 }
 
 // unknownStatus describes a job that no owner has confirmed yet.
--- a/internal/gateway/custody.go
+++ b/internal/gateway/custody.go
@@ -137,7 +137,7 @@
 		f.Kind = structs.ForwardFetch
 		return f
 	}
-	f.Kind = structs.ForwardSubmit
+	f.Kind, f.Age = structs.ForwardSubmit, time.Since(k.admitted)
 	submission := k.submission
 	// The deadline counts from the admission here, also for a later owner.
 	submission.Deadline = max(time.Until(k.deadline), time.Millisecond)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -444,7 +444,7 @@
 			return
 		}
 		id := r.addWaiter(q, q.Wait, classOf(q.Submission.Priority))
-		r.step(dispatch.Submit{Submission: q.Submission, Waiter: id})
+		r.step(dispatch.Submit{Submission: q.Submission, Waiter: id, Age: q.Age})
 		r.holdWhileRecovering(id, q)
 	case structs.ForwardTickets:
 		r.serveTickets(q)
--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -316,6 +316,9 @@
 	Pool       PoolID
 	Job        JobID
 	Submission *Submission
+	// Age is the time since the entry gateway took the request in, as of the sending of this message. The owner
+	// compares it with its refusals of the same key.
+	Age time.Duration
 	// Wait is how long the owner may hold the reply back until the job has ended. 0 asks for the status at once.
 	Wait  time.Duration
 	Count int
