--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -59,3 +61,33 @@
 	require.NoError(t, err)
 	require.Equal(t, first, second)
 }
+
+// TestWaitEndsWithTheJob guards against a complete answer without results when the caller's wait ends at the moment
+// at which the job does.
+func TestWaitEndsWithTheJob(t *testing.T) {
+	s := newSystem(t)
+	g := s.gateway("g1")
+	g.awaitConfig(t)
+	s.fakeAgent("a0", g)
+	_, err := s.client(g).Submit(t.Context(), client.Job{Service: "lending", Tasks: tasks(1)})
+	require.NoError(t, err)
+	for i := range 300 {
+		body := `{"service":"lending","repeatable":true,"tasks":[{"payload":{"run_ms":1}}]}`
+		url := fmt.Sprintf("%s/v1/jobs?wait=%dus", g.url, 800+10*(i%100))
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(body))
+		require.NoError(t, err)
+		request.Header.Set("Content-Type", "application/json")
+		request.Header.Set("Rosedrift-Team", "counter")
+		response, err := s.http.Do(request)
+		require.NoError(t, err)
+		var answer struct {
+			Outcome string
+			Results []json.RawMessage
+		}
+		require.NoError(t, json.NewDecoder(response.Body).Decode(&answer))
+		require.NoError(t, response.Body.Close())
+		if answer.Outcome == "complete" {
+			require.Len(t, answer.Results, 1)
+		}
+	}
+}
