--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -139,7 +139,11 @@
 	for ctx.Err() == nil {
 		out, err := p.dial(ctx, address)
 		if err != nil {
-			_ = level.Debug(p.g.logger).Log("msg", "peer not reached", "address", address, "err", err)
+			logger := level.Debug(p.g.logger)
+			if pause == redialPause {
+				logger = level.Warn(p.g.logger)
+			}
+			_ = logger.Log("msg", "gateway not reached", "address", address, "err", err)
 			sleep(ctx, pause)
 			pause = min(2*pause, redialMax)
 			continue
@@ -240,13 +244,14 @@
 	}
 }
 
-// forgetGone removes gateways that are in no member list and silent.
+// forgetGone removes gateways that are in no member list and either silent or stopped as planned.
 func (p *peers) forgetGone() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.g.now()
 	for id, known := range p.byID {
-		if !known.unlisted || now-known.heard <= structs.LostAfter {
+		stopped := known.stopping && known.out == nil
+		if !known.unlisted || (!stopped && now-known.heard <= structs.LostAfter) {
 			continue
 		}
 		if known.cancel != nil {
