Gateway: wait for an owner by notice instead of frequent polls

Cause: during a takeover every held submission looked for the owner each 50 ms. After: changes of records and links end the wait, and the fallback poll is 250 ms.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -15,6 +15,9 @@
 	askLimit = 8 * time.Second
 	// retryPause is the pause before a request is sent again after its owner was lost.
 	retryPause = 50 * time.Millisecond
+	// noOwnerPause is the pause while no owner is known or linked. A change of an ownership ends it early, so that
+	// thousands of waiting submissions need not look often.
+	noOwnerPause = 250 * time.Millisecond
 	// suspendedPatience is how long a submission is presented again to a suspended owner: another gateway may take
 	// the pool over meanwhile.
 	suspendedPatience = 5 * time.Second
@@ -74,6 +77,9 @@
 
 // retryLater returns the pause before a request is worth another attempt, and false if the reply is final.
 func retryLater(reply *structs.ForwardReply, err error) (time.Duration, bool) {
+	if errors.Is(err, errNoOwner) {
+		return noOwnerPause, true
+	}
 	if err != nil {
 		return retryPause, true
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -162,6 +162,9 @@
 				observe(e.Entry)
 			}
 		}
+		if len(events) > 0 {
+			g.control.ownershipChanged()
+		}
 	}
 	return g.follow(ctx, watched{recordPrefix, watchWait, reset, apply})
 }
