--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -28,6 +28,8 @@
 	// FleetWritesPerSecond is the share of the store's several hundred writes per second that all gateways together
 	// use for journals.
 	FleetWritesPerSecond = 100
+	// budgetBurst lets an idle journal grant a lease, write and mark recent keys without a wait in between.
+	budgetBurst = 3
 	// Segment is how long new entries are written under the same lease.
 	Segment = time.Minute
 	// RetentionAfterWrite is the retention period (10 min) and the longest deadline, since the entry is written before
@@ -72,7 +74,7 @@
 
 // NewBudget returns the budget of the only gateway.
 func NewBudget() *Budget {
-	return &Budget{limiter: rate.NewLimiter(FleetWritesPerSecond, 1)}
+	return &Budget{limiter: rate.NewLimiter(FleetWritesPerSecond, budgetBurst)}
 }
 
 // SetGateways divides the fleet's budget by the number of live gateways.
