Sharpen the property test of ownership

Most runs ended early in a roster whose majority had restarted, and a new owner in doubt started nothing beside the old one.

--- a/internal/ownership/property_test.go
+++ b/internal/ownership/property_test.go
@@ -19,7 +19,7 @@
 )
 
 // stepsPerCheck is the number of disturbances and submissions of one run.
-const stepsPerCheck = 400
+const stepsPerCheck = 300
 
 func compareKeys(a, b structs.KeyHash) int { return bytes.Compare(a[:], b[:]) }
 
@@ -36,6 +36,9 @@
 // disturb performs one drawn step. calm is the share of faults, in percent, that are left out.
 func (w *world) disturb(t *rapid.T, calm int) {
 	step := rapid.IntRange(0, 99).Draw(t, "step")
+	if w.now-w.lastAccept > time.Minute {
+		w.rescue()
+	}
 	if step >= 50 && w.random.IntN(100) < calm {
 		step = w.random.IntN(50)
 	}
@@ -54,6 +57,23 @@
 	w.advance(w.upTo(100 * time.Millisecond))
 }
 
+// rescue ends the faults and restarts all gateways as an operator may, so that a roster whose majority has restarted
+// does not end the work of a run.
+func (w *world) rescue() {
+	w.note("rescue")
+	w.cut = map[string]bool{}
+	w.store.outage, w.store.slow, w.store.stale = false, false, false
+	for _, g := range w.gateways {
+		g.restart()
+	}
+	w.advance(8 * time.Second)
+	for _, g := range w.gateways {
+		w.stateGone(g)
+	}
+	w.advance(4 * time.Second)
+	w.lastAccept = w.now
+}
+
 func (w *world) upTo(most time.Duration) time.Duration {
 	return time.Duration(w.random.Int64N(int64(most)))
 }
@@ -152,6 +172,8 @@
 // detached owner that can still reach an agent which has not promised. Work goes on meanwhile.
 func (w *world) detachOwner() {
 	w.cut = map[string]bool{}
+	w.store.outage, w.store.slow = false, false
+	w.advance(5 * time.Second)
 	a := w.agents[w.random.IntN(len(w.agents))]
 	for _, g := range w.gateways {
 		other := string(a.id)
@@ -185,16 +207,25 @@
 	}
 }
 
-// submitSome submits new keys or earlier ones again, to all gateways.
+// submitSome submits a new key, a new ticket of one of the gateways or an earlier key again, to all gateways.
 func (w *world) submitSome() {
+	if w.random.IntN(3) > 0 && len(w.order) > 0 {
+		w.submit(w.order[max(0, len(w.order)-1-w.random.IntN(20))])
+		return
+	}
 	key := structs.KeyHash{}
 	binary.BigEndian.PutUint32(key[:], uint32(len(w.keys)))
-	if w.random.IntN(3) > 0 && len(w.keys) > 0 {
-		binary.BigEndian.PutUint32(key[:], uint32(max(0, len(w.keys)-1-w.random.IntN(20))))
-	}
-	if _, ok := w.keys[key]; !ok {
-		w.keys[key] = w.now
+	if w.random.IntN(2) == 0 {
+		g := w.gateways[w.random.IntN(len(w.gateways))]
+		epoch, _, _ := g.m.Mode(testPool, g.now())
+		binary.BigEndian.PutUint32(key[8:], uint32(epoch))
 	}
+	w.keys[key] = w.now
+	w.order = append(w.order, key)
+	w.submit(key)
+}
+
+func (w *world) submit(key structs.KeyHash) {
 	if w.now-w.keys[key] > keyLifetime-time.Minute {
 		return
 	}
--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -41,13 +42,16 @@
 	delayed time.Duration
 	nextInc structs.Incarnation
 	keys    map[structs.KeyHash]time.Duration
+	order   []structs.KeyHash
 	// accepted holds the accepted start of each key; adoptions holds the collections by epoch.
 	accepted  map[structs.KeyHash]accepted
 	adoptions map[structs.Epoch]adoption
 	firstSent map[structs.Epoch]time.Duration
 	lastSent  map[structs.Epoch]time.Duration
-	fail      func(format string, args ...any)
-	log       []string
+	// lastAccept is the time of the last accepted start.
+	lastAccept time.Duration
+	fail       func(format string, args ...any)
+	log        []string
 	// counts shows that the runs reach the interesting cases.
 	counts map[string]int
 }
@@ -310,13 +314,14 @@
 		return
 	}
 	a.records[key] = true
-	w.note("%s accepts %s of epoch %d sent %.3f", a.ref, key.String()[4:8], epoch, sentAt.Seconds())
+	w.note("%s accepts %s of epoch %d sent %.3f", a.ref, key.String()[4:24], epoch, sentAt.Seconds())
 	w.accept(epoch, key, sentAt)
 }
 
 // accept checks the properties in terms of what agents accepted.
 func (w *world) accept(epoch structs.Epoch, key structs.KeyHash, sentAt time.Duration) {
 	w.counts["accepted"]++
+	w.lastAccept = w.now
 	if earlier, ok := w.accepted[key]; ok {
 		w.fail("key %s accepted twice: epochs %d and %d", key, earlier.epoch, epoch)
 	}
@@ -346,7 +351,7 @@
 	if w.accepted[key].epoch >= later || w.now-w.keys[key] > keyLifetime || a.records[key] {
 		return
 	}
-	known := a.journal[key] && !a.adopt.Complete
+	known := (a.journal[key] || ticketEpoch(key) > 0) && !a.adopt.Complete
 	doubt := !a.journal[key] && a.adopt.Doubt
 	if !known && !doubt {
 		w.fail("key %s, accepted under epoch %d, looks unstarted to epoch %d: journaled %t complete %t doubt %t", key,
@@ -395,6 +400,12 @@
 	handedTo structs.Epoch
 }
 
+// ticketEpoch returns the epoch that issued a key as a ticket, 0 for a key chosen by a client. Tickets start without the
+// journal.
+func ticketEpoch(key structs.KeyHash) structs.Epoch {
+	return structs.Epoch(binary.BigEndian.Uint32(key[8:]))
+}
+
 type keyState uint8
 
 const (
@@ -467,11 +478,17 @@
 	case Adopted:
 		g.w.note("%s adopts epoch %d: complete %t doubt %t", g.ref, action.Epoch, action.Adopt.Complete, action.Adopt.Doubt)
 		g.w.counts[fmt.Sprintf("adopted complete=%t doubt=%t", action.Adopt.Complete, action.Adopt.Doubt)]++
+		for _, other := range g.w.gateways {
+			if _, mode, _ := other.m.Mode(testPool, other.now()); other != g && mode == dispatch.Detached {
+				g.w.counts["adopted beside a detached owner"]++
+			}
+		}
 		g.adoption = g.w.adopted(action.Epoch, action.Adopt)
 		if g.handedTo == action.Epoch {
 			g.state = g.handed
 			// The successor journals again what the snapshot does not prove to be journaled.
-			g.queue = slices.SortedFunc(mapKeys(g.handed), compareKeys)
+			g.queue = slices.DeleteFunc(slices.SortedFunc(mapKeys(g.handed), compareKeys),
+				func(key structs.KeyHash) bool { return ticketEpoch(key) > 0 })
 		}
 	case ModeChanged:
 		g.w.counts[fmt.Sprintf("mode %d", action.Mode)]++
@@ -651,13 +668,20 @@
 
 // submit admits a key as the dispatcher does.
 func (g *fakeGateway) submit(key structs.KeyHash) {
-	_, mode, ok := g.m.Mode(testPool, g.now())
+	epoch, mode, ok := g.m.Mode(testPool, g.now())
 	if !ok || g.state[key] != 0 || (mode != dispatch.Attached && mode != dispatch.Detached) {
 		return
 	}
+	ticket := ticketEpoch(key)
 	switch {
+	case ticket > epoch:
+		return
 	case g.adoption.records[key]:
 		g.state[key] = keyStarted
+	case ticket == epoch || (ticket > 0 && g.adoption.adopt.Complete):
+		g.state[key] = keyJournaled
+	case ticket > 0:
+		g.state[key] = keyInDoubt
 	case g.adoption.journal[key] && g.adoption.adopt.Complete:
 		g.state[key] = keyJournaled
 	case g.adoption.journal[key] || g.adoption.adopt.Doubt:
