--- a/internal/gateway/fakeagent_test.go
+++ b/internal/gateway/fakeagent_test.go
@@ -18,11 +18,13 @@
 	promised structs.Epoch
 	revision structs.Revision
 	beats    uint64
+	started  map[structs.JobID]int
 }
 
-func (s *system) fakeAgent(id string, nodes ...*node) {
+func (s *system) fakeAgent(id string, nodes ...*node) *fakeAgent {
 	a := &fakeAgent{
-		ref: structs.AgentRef{ID: structs.AgentID(id), Incarnation: 1},
+		ref:     structs.AgentRef{ID: structs.AgentID(id), Incarnation: 1},
+		started: map[structs.JobID]int{},
 	}
 	for _, g := range nodes {
 		l, err := link.Dial(context.Background(), "ws://"+g.link+link.PathAgent, link.Options{}, a)
@@ -35,6 +37,14 @@
 			Agent: a.ref, Zone: "catania", Service: "lending", Server: id, Slots: 8, Connections: 64,
 		}))
 	}
+	return a
+}
+
+// startsOf returns how many tasks of a job have arrived.
+func (a *fakeAgent) startsOf(job structs.JobID) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.started[job]
 }
 
 func (a *fakeAgent) Closed(*link.Link, error) {}
@@ -74,6 +84,7 @@
 func (a *fakeAgent) run(l *link.Link, m *structs.Start) {
 	events := make([]structs.TaskEvent, len(m.Tasks))
 	for i, task := range m.Tasks {
+		a.started[task.Task.Job]++
 		events[i] = structs.TaskEvent{
 			Task: task.Task, Kind: structs.TaskFinished, RunTime: time.Microsecond, Result: task.Payload,
 		}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -22,7 +22,9 @@
 type system struct {
 	t     testing.TB
 	store *standin.Store
-	http  *http.Client
+	// view is the store as the gateways see it.
+	view store.Store
+	http *http.Client
 }
 
 // node is one running gateway.
@@ -36,6 +38,7 @@
 
 func newSystem(t testing.TB) *system {
 	s := &system{t: t, store: standin.NewStore(1), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128}}}
+	s.view = s.store
 	t.Cleanup(s.store.Close)
 	t.Cleanup(s.http.CloseIdleConnections)
 	document := configuration.Default()
@@ -57,7 +60,7 @@
 	keys, err := auth.Open("", log.NewNopLogger())
 	require.NoError(s.t, err)
 	g, err := gateway.New(gateway.Options{
-		Name: structs.GatewayID(name), Zone: "catania", Store: s.store, Listener: api, LinkListener: links,
+		Name: structs.GatewayID(name), Zone: "catania", Store: s.view, Listener: api, LinkListener: links,
 		Auth: keys, DrainTimeout: 20 * time.Second,
 	})
 	require.NoError(s.t, err)
--- /dev/null
+++ b/internal/gateway/journal_test.go
@@ -0,0 +1,61 @@
+package gateway_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rosedrift.example/rosedrift/client"
+	"rosedrift.example/rosedrift/internal/store"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// heldStore holds the writes of journal entries of jobs that are not repeatable.
+type heldStore struct {
+	store.Store
+	arrived, release chan struct{}
+}
+
+func (h *heldStore) Put(
+	ctx context.Context, key string, value []byte, expect uint64, lease store.LeaseID,
+) (uint64, error) {
+	if strings.HasSuffix(key, "-once") {
+		h.arrived <- struct{}{}
+		select {
+		case <-h.release:
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+	return h.Store.Put(ctx, key, value, expect, lease)
+}
+
+// TestKeyIsJournaledBeforeStart guards against a start whose key is not in the store: a later owner that cannot ask all
+// agents would take the key for a new one.
+func TestKeyIsJournaledBeforeStart(t *testing.T) {
+	s := newSystem(t)
+	held := &heldStore{Store: s.store, arrived: make(chan struct{}, 9), release: make(chan struct{})}
+	s.view = held
+	g := s.gateway("g1")
+	g.awaitConfig(t)
+	a := s.fakeAgent("a1", g)
+	c := s.client(g)
+	status, err := c.Start(t.Context(), client.Job{Service: "lending", Tasks: tasks(2), Key: "k1", Once: true})
+	require.NoError(t, err)
+	job, err := structs.ParseJobID(status.Job)
+	require.NoError(t, err)
+	<-held.arrived
+
+	// A later job of the same team needs no journal entry and overtakes the held one.
+	later, err := c.Submit(t.Context(), client.Job{Service: "lending", Tasks: tasks(2)})
+	require.NoError(t, err)
+	require.Len(t, later.Results, 2)
+	require.Zero(t, a.startsOf(job), "start before the journal entry")
+	close(held.release)
+	answer, err := c.Await(t.Context(), status.Job)
+	require.NoError(t, err)
+	require.Len(t, answer.Results, 2)
+	require.Equal(t, 2, a.startsOf(job))
+}
