--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"sync"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"rosedrift.example/rosedrift/client"
@@ -59,3 +61,29 @@
 	require.NoError(t, err)
 	require.Equal(t, first, second)
 }
+
+// TestForwardedAnswersDoNotCross guards against the answer of another job when many are under way between two gateways.
+func TestForwardedAnswersDoNotCross(t *testing.T) {
+	s := newSystem(t)
+	nodes := []*node{s.gateway("g1"), s.gateway("g2")}
+	for _, n := range nodes {
+		n.awaitConfig(t)
+	}
+	s.fakeAgent("a1", nodes...)
+	clients := []*client.Client{s.client(nodes[0]), s.client(nodes[1])}
+	const jobs, size = 40, 20
+	var wait sync.WaitGroup
+	for i := range jobs {
+		wait.Go(func() {
+			payloads := make([]json.RawMessage, size)
+			for k := range payloads {
+				payloads[k] = json.RawMessage(fmt.Sprintf(`{"job":%d,"task":%d}`, i, k))
+			}
+			answer, err := clients[i%2].Submit(t.Context(), client.Job{Service: "lending", Tasks: payloads})
+			if assert.NoError(t, err) {
+				assert.Equal(t, payloads, answer.Results)
+			}
+		})
+	}
+	wait.Wait()
+}
