--- a/internal/dispatch/api.go
+++ b/internal/dispatch/api.go
@@ -59,6 +59,8 @@
 type Submit struct {
 	Submission *structs.Submission
 	Waiter     WaiterID
+	// Age is the time since the caller's request arrived at its entry gateway.
+	Age time.Duration
 }
 
 // Wait adds a waiter to a known job. For an unknown job the action is Refuse with CodeNotFound.
@@ -81,7 +83,8 @@
 type Events struct {
 	Agent structs.AgentRef
 	// Epoch is TaskEvents.Epoch; 0 stands for the pool's own. A refusal or withdrawal of a lower epoch answers a
-	// start of an earlier owner and proves nothing about a start of this one, so it is ignored.
+	// start of an earlier owner and proves nothing about a start of this one: it counts only for adopted tasks and
+	// if it is of the epoch before.
 	Epoch structs.Epoch
 	// Unsent is true for refusals made by the shell because no link took the starts. The agent has never seen them.
 	Unsent bool
