Bench: change an existing field in operator-race, and fail if nothing is accepted

The script set max-tasks, but the field is max_tasks, so every command was refused and the scenario showed nothing: config_in_force_max_s was 0 and processes that apply lower revisions passed. Now a run in which no change of an operator is accepted fails.

--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -150,11 +150,15 @@
 	}()
 }
 
-func (r *run) changeLimits(operator int) {
+// changeLimits changes a limit several times and returns how many changes were accepted.
+func (r *run) changeLimits(operator int) (accepted int) {
 	for i := range 5 {
 		r.pause(200 * time.Millisecond)
-		r.command(fmt.Sprintf("set max-tasks %d", 10_000+10*operator+i))
+		if r.command(fmt.Sprintf("set max_tasks %d", 10_000+10*operator+i)) {
+			accepted++
+		}
 	}
+	return accepted
 }
 
 // watchRevisions samples the revision of each gateway incarnation and counts steps back.
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -194,7 +194,9 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			r.changeLimits(operator)
+			if r.changeLimits(operator) == 0 {
+				r.fail("no change of operator %d was accepted", operator)
+			}
 		}()
 	}
 	wait.Wait()
