--- a/internal/gateway/fakeagent_test.go
+++ b/internal/gateway/fakeagent_test.go
@@ -19,6 +19,8 @@
 	revision structs.Revision
 	beats    uint64
 	started  map[structs.JobID]int
+	// mute suppresses heartbeats. Everything else is answered.
+	mute bool
 }
 
 func (s *system) fakeAgent(id string, nodes ...*node) *fakeAgent {
@@ -57,6 +59,9 @@
 		case structs.TypeGatewayHeartbeat:
 			var m structs.GatewayHeartbeat
 			_ = link.Decode(e, &m)
+			if a.mute {
+				continue
+			}
 			a.beats++
 			_ = l.Send(link.Control, structs.TypeAgentHeartbeat, &structs.AgentHeartbeat{
 				Revision: a.revision, Promised: a.promised, Seq: a.beats, EchoSeq: m.Seq,
--- a/internal/gateway/journal_test.go
+++ b/internal/gateway/journal_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"rosedrift.example/rosedrift/client"
+	"rosedrift.example/rosedrift/internal/ownership"
+	"rosedrift.example/rosedrift/internal/standin"
 	"rosedrift.example/rosedrift/internal/store"
 	"rosedrift.example/rosedrift/internal/structs"
 )
@@ -59,3 +62,27 @@
 	require.Len(t, answer.Results, 2)
 	require.Equal(t, 2, a.startsOf(job))
 }
+
+// TestSuspendedOwnerStartsNothing guards against starts on a right that has lapsed: the store is down, and no agent
+// acknowledges the owner. The wait ends before the agent counts as lost.
+func TestSuspendedOwnerStartsNothing(t *testing.T) {
+	s := newSystem(t)
+	g := s.gateway("g1")
+	g.awaitConfig(t)
+	a := s.fakeAgent("a1", g)
+	c := s.client(g)
+	_, err := c.Submit(t.Context(), client.Job{Service: "lending", Tasks: tasks(1)})
+	require.NoError(t, err)
+	a.mu.Lock()
+	a.mute = true
+	a.mu.Unlock()
+	s.store.SetFaults(standin.StoreFaults{Outage: true})
+	time.Sleep(ownership.LeaseValid + 100*time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	_, err = c.Submit(ctx, client.Job{Service: "lending", Tasks: tasks(1)})
+	require.Error(t, err)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	require.Len(t, a.started, 1)
+}
