--- a/cmd/rosedrift-bench/main.go
+++ b/cmd/rosedrift-bench/main.go
@@ -31,6 +31,8 @@
 	Instances int `arg:"--instances" help:"number of backend servers, 0 for the profile's"`
 	Gateways  int `arg:"--gateways" help:"number of gateways, 0 for the profile's"`
 	Pools     int `arg:"--pools" help:"number of pools, 0 for the profile's"`
+	// Settings change the policy of the service for experiments.
+	Settings []string `arg:"--set,separate" help:"setting of the service, for example 'urgent_reserve 0.1'"`
 }
 
 // Exit codes.
@@ -92,6 +94,7 @@
 			*target = value
 		}
 	}
+	profile.Settings = o.Settings
 	return bench.Config{
 		Scenario: scenario, Profile: profile, Policy: o.Policy, Seed: o.Seed, Duration: o.Duration, Dir: o.Dir,
 	}, nil
--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -207,7 +207,7 @@
 		return true
 	case "may_have_run":
 		v.outcome = structs.OutcomeMayHaveRun
-		return true
+		return !transient(status, answer.Code)
 	case "not_run":
 		v.outcome = structs.OutcomeNotRun
 		return !transient(status, answer.Code)
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -150,7 +150,7 @@
 	for {
 		_, err := c.Command(ctx, 0, command)
 		if err == nil {
-			return nil
+			return c.applySettings(ctx)
 		}
 		if time.Now().After(limit) {
 			return err
@@ -159,6 +159,15 @@
 	}
 }
 
+func (c *Cluster) applySettings(ctx context.Context) error {
+	for _, setting := range c.profile.Settings {
+		if _, err := c.Command(ctx, 0, "service "+c.profile.Service+" set "+setting); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *Cluster) startAgents() error {
 	for i := range c.profile.Instances {
 		node, err := c.newAgent(i)
--- a/internal/bench/profile.go
+++ b/internal/bench/profile.go
@@ -27,6 +27,8 @@
 	UrgentShare float64
 	Teams       int
 	Pools       int
+	// Settings are operators' settings of the service, "FIELD VALUE", for experiments.
+	Settings []string
 }
 
 // unevenSlowdowns spreads the back ends over a factor of almost three, as bought over many years.
