Compare versions when registering a gateway

Cause: after a lost answer the gateway writes its member key again under a new lease. The earlier write could still take effect and move the key to the earlier lease; with its end the key goes, and others take over the pools of a gateway whose lease is in force. Found by review of the contract of ownership.LeaseRenewed.

--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -70,14 +70,26 @@
 	if err != nil {
 		return err
 	}
-	key := memberPrefix + string(g.self.ID)
-	if _, err := g.options.Store.Put(ctx, key, value, store.AnyVersion, lease); err != nil {
+	if err := g.register(ctx, value, lease); err != nil {
 		return err
 	}
 	g.lease.Store(uint64(lease))
 	return nil
 }
 
+// register writes the member key under a new lease. It compares versions, so that an earlier attempt whose answer was
+// lost cannot take effect later and move the key to an earlier lease, with whose end the key would go while the
+// gateway relies on the new one.
+func (g *Gateway) register(ctx context.Context, value []byte, lease store.LeaseID) error {
+	key := memberPrefix + string(g.self.ID)
+	entry, err := g.options.Store.Get(ctx, key)
+	if err != nil && !store.IsKind(err, store.KindNotFound) {
+		return err
+	}
+	_, err = g.options.Store.Put(ctx, key, value, entry.Version, lease)
+	return err
+}
+
 func (g *Gateway) renewalFailed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
