--- /dev/null
+++ b/internal/gateway/custody_test.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// TestCustodyClaimsNotRunOnlyWithProof guards against not_run for a body that an owner may have taken over a link that
+// broke before its reply, or that was used under the caller's own key before.
+func TestCustodyClaimsNotRunOnlyWithProof(t *testing.T) {
+	first := target{owner: structs.GatewayRef{ID: "g1", Incarnation: 1}, epoch: 1}
+	second := target{owner: structs.GatewayRef{ID: "g2", Incarnation: 1}, epoch: 2}
+	keep := func(ownKey bool) *custodyOf {
+		return &custodyOf{
+			ownKey: ownKey, accepted: make(chan struct{}), done: make(chan struct{}),
+			unresolved: map[target]bool{}, suspended: time.Now().Add(-suspendedPatience),
+		}
+	}
+	refusal := func(code structs.Code) *structs.ForwardReply {
+		return &structs.ForwardReply{Problem: &structs.Problem{Code: code, Outcome: structs.OutcomeNotRun}}
+	}
+
+	k := keep(true)
+	require.False(t, k.note(nil, first, errCut))
+	require.Equal(t, structs.OutcomeMayHaveRun, k.timeOver().Problem.Outcome, "a body without a reply")
+	require.True(t, k.note(refusal(structs.CodeOverloaded), first, nil))
+	require.Equal(t, structs.OutcomeMayHaveRun, k.reply.Problem.Outcome, "the same owner forgot the body")
+
+	k = keep(true)
+	require.False(t, k.note(nil, first, errCut))
+	require.True(t, k.note(refusal(structs.CodeOverloaded), second, nil))
+	require.Equal(t, structs.OutcomeNotRun, k.reply.Problem.Outcome, "a later owner knows what has run")
+
+	require.Equal(t, structs.OutcomeNotRun, keep(true).timeOver().Problem.Outcome)
+	require.Equal(t, structs.OutcomeMayHaveRun, keep(false).timeOver().Problem.Outcome, "the caller's own key")
+	k = keep(true)
+	require.False(t, k.note(&structs.ForwardReply{Status: &structs.JobStatus{}}, first, nil))
+	require.Equal(t, structs.OutcomeMayHaveRun, k.timeOver().Problem.Outcome, "an accepted job")
+}
