--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rosedrift.example/rosedrift/internal/standin"
@@ -256,7 +257,7 @@
 			return nil
 		}
 		if time.Now().After(limit) {
-			return fmt.Errorf("%d of %d backend servers ready: %w", eligible, c.profile.Instances, err)
+			return fmt.Errorf("%d of %d backend servers ready, last error: %w", eligible, c.profile.Instances, err)
 		}
 		time.Sleep(pollInterval)
 	}
@@ -356,14 +357,26 @@
 	}
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
+// firstPort and ports bound the addresses given to processes. They lie below the range of ephemeral ports, so that no
+// outgoing connection takes a port between its choice and its use.
+const (
+	firstPort = 12_000
+	ports     = 20_000
+)
+
+var nextPort atomic.Int64
+
+// freeAddr returns a loopback address that was free a moment ago. Runs side by side begin at different ports.
 func freeAddr() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range ports {
+		port := firstPort + (int64(os.Getpid())*97+nextPort.Add(1))%ports
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		return listener.Addr().String(), listener.Close()
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // tempDir returns a directory for programs and logs.
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -108,7 +108,7 @@
 		Notes: []string{fmt.Sprintf("logs in %s", config.Dir)},
 	}
 	o.evaluate(result)
-	for _, line := range o.evidence {
+	for _, line := range append(o.evidence, o.slowest()...) {
 		_, _ = r.cluster.log.WriteString(line + "\n")
 	}
 	usageOf(result, before, after)
