--- a/internal/configuration/fields.go
+++ b/internal/configuration/fields.go
@@ -57,7 +57,7 @@
 			parse: func(s *service, v string) bool { return parseList(&s.Zones, v) }},
 		priorityField("default_priority", structs.Routine.String(), func(s *service) *string { return &s.DefaultPriority }),
 		durationField("task_timeout", func(s *service) *time.Duration { return &s.TaskTimeout }),
-		{Name: "urgent_reserve", Want: "a number from 0 to 0.5, for example 0.05",
+		{Name: "urgent_reserve", Want: "a number from 0 to 0.5, for example 0.03",
 			get:   func(s *service) string { return formatFloat(s.UrgentReserve) },
 			parse: func(s *service, v string) bool { return parseFloat(&s.UrgentReserve, v) }},
 		countField("max_queued_tasks", false, func(s *service) *int { return &s.MaxQueuedTasks }),
--- a/internal/structs/config.go
+++ b/internal/structs/config.go
@@ -100,7 +100,7 @@
 	DefaultDeadline       = 60 * time.Second
 	DefaultMaxDeadline    = 5 * time.Minute
 	DefaultTaskTimeout    = 30 * time.Second
-	DefaultUrgentReserve  = 0.05
+	DefaultUrgentReserve  = 0.03
 	DefaultMaxQueuedTasks = 200_000
 	DefaultTeamWeight     = 1.0
 )
