--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -47,6 +47,7 @@
 		{Name: "store-outage", Summary: "the store is down for most of the run", Load: loadOf(0.8), Script: storeOutage},
 		{Name: "store-lost-answer", Summary: "answers of the store get lost", Load: loadOf(0.7), Script: storeLostAnswer},
 		{Name: "resubmit", Summary: "every client submits twice while gateways crash", Load: loadOf(0.6), Script: gatewayCrash, ResubmitAll: true},
+		{Name: "owner-and-agents-crash", Summary: "all gateways and just under half of the agents are killed at once", Load: loadOf(0.6), Script: ownerAndAgentsCrash, ResubmitAll: true},
 		{Name: "stragglers", Summary: "some backend servers become ten times slower", Load: loadOf(0.6), Script: stragglers},
 		{Name: "failing-worker", Summary: "a backend server fails everything at once", Load: loadOf(0.6), Script: failingWorker},
 		{Name: "cancel-wave", Summary: "half of the routine jobs are cancelled", Load: cancelLoad},
@@ -144,6 +145,26 @@
 	}
 }
 
+// ownerAndAgentsCrash destroys start records together with their owner, so that only the journal knows the keys of jobs
+// that had started at lost agents alone. A majority of the agents lives on, and the others return after the takeover.
+func ownerAndAgentsCrash(r *run) {
+	const outage = 9 * time.Second
+	r.sleepTo(0.3)
+	agents := r.cluster.Agents[:(len(r.cluster.Agents)-1)/2]
+	for _, node := range r.cluster.Gateways {
+		r.note("kill %s", node.Name)
+		node.Kill()
+	}
+	var wait sync.WaitGroup
+	for _, node := range agents {
+		wait.Go(func() { r.crash(node.Process, outage) })
+	}
+	for _, node := range r.cluster.Gateways {
+		r.check(node.Start())
+	}
+	wait.Wait()
+}
+
 func freeze(r *run) {
 	for i, share := range []float64{0.15, 0.35, 0.55} {
 		r.sleepTo(share)
