Agent: use package auth for TLS, warn about gateways that are not reached

Cause: rosedrift-agent built its own TLS client without a server name, so that a certificate for gateway.rosedrift failed against the address. An unreached gateway and a refused handshake were told only at level debug. Ruled out: the server name in a second place beside package auth; warnings for each attempt, up to one per second. Before: no link over TLS between the agent's process and a gateway; no line at level info. After: agent and gateway link with mutual TLS (TestAgentOverMutualTLS, real agent shell and gateway). With a certificate of another authority on either side both log a warning, then one per 10 s for each address at the agent and one per 10 s at the gateway, others at level debug. Conclusion: agents can run with the certificates that the gateways use.

--- a/cmd/rosedrift-agent/main.go
+++ b/cmd/rosedrift-agent/main.go
@@ -5,16 +5,17 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/binary"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"rosedrift.example/rosedrift/internal/agent"
+	"rosedrift.example/rosedrift/internal/auth"
 	"rosedrift.example/rosedrift/internal/settings"
 	"rosedrift.example/rosedrift/internal/structs"
 	"rosedrift.example/rosedrift/internal/telemetry"
@@ -34,11 +35,11 @@
 func run(s *settings.Agent) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	tlsConfig, err := newTLS(s)
+	logger := telemetry.NewLogger(os.Stderr, s.LogLevel, s.LogFormat)
+	clientTLS, err := newTLS(ctx, s, logger)
 	if err != nil {
 		return err
 	}
-	logger := telemetry.NewLogger(os.Stderr, s.LogLevel, s.LogFormat)
 	metrics := telemetry.NewMetrics("rosedrift_agent", map[string]string{"zone": s.Zone})
 	defer func() { _ = metrics.Close() }()
 	a, err := agent.NewAgent(agent.ProcessOptions{
@@ -51,7 +52,7 @@
 		Listen:       s.Listen,
 		Gateways:     s.Gateways,
 		ClusterKey:   s.ClusterKey,
-		TLS:          tlsConfig,
+		ClientTLS:    clientTLS,
 		DrainTimeout: s.DrainTimeout.Duration,
 		Logger:       logger,
 		Scope:        metrics.Scope,
@@ -73,27 +74,16 @@
 	return structs.Incarnation(binary.LittleEndian.Uint64(raw[:]))
 }
 
-// newTLS returns the configuration of the links, nil if they are to be plain.
-func newTLS(s *settings.Agent) (*tls.Config, error) {
-	if s.TLSCA == "" {
-		return nil, nil
-	}
-	raw, err := os.ReadFile(s.TLSCA)
-	if err != nil {
-		return nil, fmt.Errorf("TLS CA: %w", err)
-	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(raw) {
-		return nil, fmt.Errorf("TLS CA: no certificate in %s", s.TLSCA)
-	}
-	config := &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots}
+// newTLS returns the configuration of the links and follows changes of its files until the context ends. It returns
+// nil if the links are to be plain.
+func newTLS(ctx context.Context, s *settings.Agent, logger log.Logger) (func() *tls.Config, error) {
 	if s.TLSCert == "" {
-		return config, nil
+		return nil, nil
 	}
-	own, err := tls.LoadX509KeyPair(s.TLSCert, s.TLSKey)
+	secured, err := auth.OpenTLS(auth.Files{Certificate: s.TLSCert, PrivateKey: s.TLSKey, Authorities: s.TLSCA}, logger)
 	if err != nil {
-		return nil, fmt.Errorf("TLS certificate: %w", err)
+		return nil, err
 	}
-	config.Certificates = []tls.Certificate{own}
-	return config, nil
+	go secured.Run(ctx)
+	return secured.Client, nil
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -49,8 +49,8 @@
 	Gateways []string
 	// ClusterKey is sent to the gateways, if set.
 	ClusterKey string
-	// TLS, if set, secures the links.
-	TLS *tls.Config
+	// ClientTLS returns the configuration of one dial of a link; nil means plain TCP.
+	ClientTLS func() *tls.Config
 	// DrainTimeout bounds the wait for running tasks at a stop. 0 means DefaultDrainTimeout.
 	DrainTimeout time.Duration
 	// Logger, Health, Scope and Metrics may be nil. Scope receives the counters, Metrics serves them.
--- a/internal/agent/gateways.go
+++ b/internal/agent/gateways.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"rosedrift.example/rosedrift/internal/link"
 	"rosedrift.example/rosedrift/internal/structs"
+	"rosedrift.example/rosedrift/internal/telemetry"
 )
 
 const (
@@ -21,6 +23,8 @@
 	// second.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
+	// unreachedInterval bounds the warnings about one gateway that is not reached.
+	unreachedInterval = 10 * time.Second
 )
 
 // gateways keeps a link to each known gateway: those of the settings and those that linked gateways list.
@@ -87,8 +91,9 @@
 		InitialInterval: firstRetry, MaxInterval: lastRetry, Multiplier: 2, RandomizationFactor: 0.2,
 	}
 	retry.Reset()
+	unreached := telemetry.NewBounded(g.agent.logger, unreachedInterval)
 	for ctx.Err() == nil {
-		if !g.isDuplicate(address) && g.connect(ctx, address) {
+		if !g.isDuplicate(address) && g.connect(ctx, address, unreached) {
 			retry.Reset()
 		}
 		select {
@@ -114,23 +119,27 @@
 	return false
 }
 
-// connect dials once and waits for the end of the link. It returns false if there was none.
-func (g *gateways) connect(ctx context.Context, address string) bool {
+// connect dials once and waits for the end of the link. It returns false if there was none, and tells unreached why.
+func (g *gateways) connect(ctx context.Context, address string, unreached log.Logger) bool {
 	a := g.agent
 	handler := &gatewayHandler{gateways: g, address: address, dialedAt: a.clock()}
 	scheme := "ws://"
-	if a.options.TLS != nil {
+	options := link.Options{Fault: a.options.Fault, Logger: a.logger}
+	if a.options.ClientTLS != nil {
 		scheme = "wss://"
+		options.TLS = a.options.ClientTLS()
 	}
-	options := link.Options{TLS: a.options.TLS, Fault: a.options.Fault, Logger: a.logger}
 	if a.options.ClusterKey != "" {
 		options.Header = http.Header{"Authorization": {"Bearer " + a.options.ClusterKey}}
 	}
 	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	l, err := link.Dial(dialing, scheme+address+link.PathAgent, options, handler)
+	if err != nil && ctx.Err() != nil {
+		return false
+	}
 	if err != nil {
-		_ = level.Debug(a.logger).Log("msg", "gateway not reached", "address", address, "err", err)
+		_ = unreached.Log("msg", "gateway not reached", "address", address, "err", err)
 		return false
 	}
 	handler.up(l)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -251,7 +252,7 @@
 
 func (g *Gateway) serveLinks(ctx context.Context) error {
 	server := &http.Server{
-		Handler: http.HandlerFunc(g.acceptLink), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: g.httpLog(),
+		Handler: http.HandlerFunc(g.acceptLink), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: g.linkLog(),
 	}
 	return serve(ctx, server, g.options.LinkListener, g.options.LinkTLS)
 }
@@ -261,6 +262,30 @@
 	return stdlog.New(log.NewStdlibAdapter(level.Debug(g.logger)), "", 0)
 }
 
+// handshakeInterval bounds the warnings about refused handshakes of links.
+const handshakeInterval = 10 * time.Second
+
+// linkLog passes the complaints about single links on: those about certificates as warnings at a bounded rate.
+func (g *Gateway) linkLog() *stdlog.Logger {
+	return stdlog.New(&linkLog{
+		handshakes: telemetry.NewBounded(g.logger, handshakeInterval), others: level.Debug(g.logger),
+	}, "", 0)
+}
+
+// linkLog is the writer behind the error log of the HTTP server for links. It gets one line at a time.
+type linkLog struct{ handshakes, others log.Logger }
+
+// Write implements io.Writer. A connection that ends during the handshake is no fault: load balancers probe so.
+func (l *linkLog) Write(line []byte) (int, error) {
+	text := strings.TrimSpace(string(line))
+	_, fault, found := strings.Cut(text, "TLS handshake error from ")
+	if !found || strings.HasSuffix(text, ": EOF") {
+		return len(line), l.others.Log("msg", text)
+	}
+	peer, reason, _ := strings.Cut(fault, ": ")
+	return len(line), l.handshakes.Log("msg", "link refused in the TLS handshake", "peer", peer, "err", reason)
+}
+
 func serve(ctx context.Context, server *http.Server, listener net.Listener, secure *tls.Config) error {
 	if secure != nil {
 		listener = tls.NewListener(listener, secure)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -49,17 +49,21 @@
 	return s
 }
 
-func (s *system) gateway(name string) *node {
+func (s *system) gateway(name string, changes ...func(*gateway.Options)) *node {
 	api, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err)
 	links, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err)
 	keys, err := auth.Open("", log.NewNopLogger())
 	require.NoError(s.t, err)
-	g, err := gateway.New(gateway.Options{
+	options := gateway.Options{
 		Name: structs.GatewayID(name), Zone: "catania", Store: s.store, Listener: api, LinkListener: links,
 		Auth: keys, DrainTimeout: 20 * time.Second,
-	})
+	}
+	for _, change := range changes {
+		change(&options)
+	}
+	g, err := gateway.New(options)
 	require.NoError(s.t, err)
 	ctx, kill := context.WithCancel(context.Background())
 	n := &node{
