Status page: align numbers, leave out empty columns and repeated notes

Ruled out: columns chosen in the page by name, which would have to follow every command. Conclusion: servers that get no work are visible at once by their note.

--- a/internal/admin/handler_test.go
+++ b/internal/admin/handler_test.go
@@ -130,6 +130,18 @@
 	require.Contains(t, string(page), "Backend servers")
 }
 
+// TestStatusColumns guards against numbers that cannot be compared by eye and against columns without content.
+func TestStatusColumns(t *testing.T) {
+	section := newSection("x", &Result{
+		Columns: []string{"zone", "region", "slots", "wait", "age", "command"},
+		Rows:    [][]string{{"1st", "", "8", "0s", "1.5", "1 zone"}, {"b", "", "16", "1m20s", "", "2"}},
+	}, nil)
+	require.Equal(t, []statusColumn{
+		{"zone", false}, {"slots", true}, {"wait", true}, {"age", true}, {"command", false},
+	}, section.Columns)
+	require.Equal(t, []statusCell{{"b", false}, {"16", true}, {"1m20s", true}, {"", true}, {"2", false}}, section.Rows[1])
+}
+
 // TestInForceWaits guards against an answer before the revision is in force while time is left, and against a wait
 // without an end.
 func TestInForceWaits(t *testing.T) {
--- a/internal/query/list.go
+++ b/internal/query/list.go
@@ -81,8 +81,12 @@
 			continue
 		}
 		state := cmp.Or(config.Servers[string(status.Agent.ID)].State, structs.ServerActive)
+		note := status.State
+		if note == string(state) {
+			note = ""
+		}
 		list.add(string(status.Agent.ID), status.Server, status.Zone, agent.Pool.String(), string(state), status.Slots,
-			status.Running, status.Queued, status.Speed, agent.Revision, status.State)
+			status.Running, status.Queued, status.Speed, agent.Revision, note)
 	}
 	result := list.result()
 	result.Notes = append(e.unseenNotes(ctx, agents.Silent), drainingUnseen(config, agents.Items)...)
