Serve profiles on request and measure CPU per task by role

Scenarios marked Direct now bypass the relays on links and to the store. Ruled out: keeping the relays with a delay of 0. Messages are not counted in Direct runs, which the notes of the result say.

--- a/cmd/rosedrift-agent/main.go
+++ b/cmd/rosedrift-agent/main.go
@@ -38,6 +38,11 @@
 	if err != nil {
 		return err
 	}
+	stopProfiles, err := telemetry.ServeProfiles(s.PprofListen)
+	if err != nil {
+		return err
+	}
+	defer stopProfiles()
 	logger := telemetry.NewLogger(os.Stderr, s.LogLevel, s.LogFormat)
 	metrics := telemetry.NewMetrics("rosedrift_agent", map[string]string{"zone": s.Zone})
 	defer func() { _ = metrics.Close() }()
--- a/cmd/rosedrift-gateway/main.go
+++ b/cmd/rosedrift-gateway/main.go
@@ -35,6 +35,11 @@
 func run(s *settings.Gateway) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	stopProfiles, err := telemetry.ServeProfiles(s.PprofListen)
+	if err != nil {
+		return err
+	}
+	defer stopProfiles()
 	logger := telemetry.NewLogger(os.Stderr, s.LogLevel, s.LogFormat)
 	metrics := telemetry.NewMetrics("rosedrift", map[string]string{"gateway": s.Name})
 	defer func() { _ = metrics.Close() }()
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -29,6 +29,10 @@
 	Agents   []*AgentNode
 
 	client *http.Client
+	// profiles makes the gateways and one agent serve profiles.
+	profiles bool
+	// direct leaves the relays of links and store out of the way.
+	direct bool
 	// log receives the steps of the script.
 	log *os.File
 }
@@ -38,6 +42,8 @@
 	*Process
 	// Addr is the address of the caller and admin API.
 	Addr string
+	// linkAddr is the address that agents and other gateways dial.
+	linkAddr string
 	// Links lies between the gateway and the agents and gateways that dial it.
 	Links *Relay
 	// Store lies between the gateway and the store.
@@ -58,8 +64,9 @@
 )
 
 // NewCluster builds the programs, starts every process and waits until all backend servers are ready for work.
-func NewCluster(ctx context.Context, dir string, p Profile, policy string) (*Cluster, error) {
-	c := &Cluster{profile: p, dir: dir, client: &http.Client{Timeout: 10 * time.Second}}
+func NewCluster(ctx context.Context, config Config) (*Cluster, error) {
+	dir, p, policy := config.Dir, config.Profile, config.Policy
+	c := &Cluster{profile: p, dir: dir, profiles: config.Profiles, direct: config.Scenario.Direct, client: &http.Client{Timeout: 10 * time.Second}}
 	if err := build(dir, "rosedrift-standin", "rosedrift-gateway", "rosedrift-agent"); err != nil {
 		return nil, err
 	}
@@ -131,16 +138,25 @@
 	if err != nil {
 		return nil, err
 	}
+	advertise, storeURL := links.Addr(), "http://"+store.Addr()
+	if c.direct {
+		advertise, storeURL = linkAddr, c.storeURL
+	}
 	name := fmt.Sprintf("g%d", i+1)
 	args := []string{
 		"--name", name, "--zone", c.profile.Zone(i), "--listen", addr, "--link-listen", linkAddr,
-		"--advertise", links.Addr(), "--store", "http://" + store.Addr(), "--policy", policy,
+		"--advertise", advertise, "--store", storeURL, "--policy", policy,
 	}
 	process, err := newProcess(c.dir, "rosedrift-gateway", name, args...)
 	if err != nil {
 		return nil, err
 	}
-	return &GatewayNode{Process: process, Addr: addr, Links: links, Store: store}, nil
+	if c.profiles {
+		if err := process.enableProfiles(); err != nil {
+			return nil, err
+		}
+	}
+	return &GatewayNode{Process: process, Addr: addr, linkAddr: advertise, Links: links, Store: store}, nil
 }
 
 // createService creates the service and its teams by operators' commands.
@@ -183,12 +199,17 @@
 	name := agentName(i)
 	args := []string{"--name", name, "--zone", c.profile.Zone(i), "--listen", addr, "--gateways"}
 	for _, gateway := range c.Gateways {
-		args = append(args, gateway.Links.Addr())
+		args = append(args, gateway.linkAddr)
 	}
 	process, err := newProcess(c.dir, "rosedrift-agent", name, args...)
 	if err != nil {
 		return nil, err
 	}
+	if c.profiles && i == 0 {
+		if err := process.enableProfiles(); err != nil {
+			return nil, err
+		}
+	}
 	backend, err := standin.NewBackend(standin.BackendOptions{
 		Name: name, Service: c.profile.Service, Address: "127.0.0.1:0", Agent: addr,
 		Slots: c.profile.Slots, Connections: c.profile.Connections,
--- a/internal/bench/process.go
+++ b/internal/bench/process.go
@@ -18,7 +18,9 @@
 	Name string
 	args []string
 	path string
-	log  *os.File
+	// profiles is the address of the profiling endpoint, empty if profiles are not asked for.
+	profiles string
+	log      *os.File
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -68,6 +70,17 @@
 	return nil
 }
 
+// enableProfiles makes the process serve profiles from its next start on.
+func (p *Process) enableProfiles() error {
+	addr, err := freeAddr()
+	if err != nil {
+		return err
+	}
+	p.profiles = addr
+	p.args = append([]string{"--pprof-listen", addr}, p.args...)
+	return nil
+}
+
 func maxProcs(path string) int {
 	if strings.HasSuffix(path, "agent") {
 		return 1
@@ -178,3 +191,12 @@
 	}
 	return p.command.Process.Pid
 }
+
+// ownCPU returns the processor time of the bench process: callers, relays and backend server stand-ins.
+func ownCPU() time.Duration {
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		return 0
+	}
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -52,6 +52,11 @@
 	GatewayCPUPercent     float64 `json:"gateway_cpu_percent"`
 	AgentRSSMB            float64 `json:"agent_rss_mb"`
 	GatewayRSSMB          float64 `json:"gateway_rss_mb"`
+	// The processor time per started task, in microseconds, summed over the processes of a role. The bench process
+	// holds the callers, the relays and the backend server stand-ins.
+	AgentCPUPerTaskUS     float64 `json:"agent_cpu_per_task_us"`
+	GatewayCPUPerTaskUS   float64 `json:"gateway_cpu_per_task_us"`
+	BenchCPUPerTaskUS     float64 `json:"bench_cpu_per_task_us"`
 	AgentControlBytesPerS float64 `json:"agent_control_bytes_per_s"`
 
 	// Broken lists the broken promises in words; the program exits non-zero if there is one.
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -24,6 +24,8 @@
 	Duration time.Duration
 	// Dir receives programs and logs; empty means a new temporary directory.
 	Dir string
+	// Profiles writes processor profiles of the bench, the gateways and one agent into Dir.
+	Profiles bool
 }
 
 // drainLimit is how long after the last arrival a run waits for answers.
@@ -47,7 +49,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, config.Duration+drainLimit+time.Minute)
 	defer cancel()
-	cluster, err := NewCluster(ctx, config.Dir, config.Profile, config.Policy)
+	cluster, err := NewCluster(ctx, config)
 	if err != nil {
 		return nil, err
 	}
@@ -78,11 +80,22 @@
 	go r.script(config.Scenario.Script, scripted)
 	middle := make(chan sample, 1)
 	go func() { middle <- cluster.sampleAt(ctx, config.Duration) }()
+	profiled := make(chan error, 1)
+	go func() {
+		if !config.Profiles {
+			profiled <- nil
+			return
+		}
+		profiled <- cluster.collectProfiles(ctx, config.Duration)
+	}()
 	callers := newCallers(config.Profile, cluster.gatewayAddrs())
 	callers.started, callers.resubmitAll = cluster.started, config.Scenario.ResubmitAll
 	verdicts := callers.run(ctx, jobs)
 	<-scripted
 	stopScript()
+	if err := <-profiled; err != nil {
+		return nil, fmt.Errorf("profiles: %w", err)
+	}
 	return r.result(config, load, jobs, verdicts, before, <-middle)
 }
 
@@ -112,6 +125,10 @@
 		_, _ = r.cluster.log.WriteString(line + "\n")
 	}
 	usageOf(result, before, after)
+	o.costOf(result, before, after)
+	if config.Scenario.Direct {
+		result.Notes = append(result.Notes, "messages are not counted: links do not pass the relays")
+	}
 	if load.Utilization < 1 {
 		result.Notes = append(result.Notes, "goodput_ratio is bounded by the offered load")
 	}
@@ -166,7 +183,9 @@
 
 // sample is the resource use at one moment.
 type sample struct {
-	at       time.Time
+	at time.Time
+	// own is the processor time of the bench process.
+	own      time.Duration
 	agents   []usage
 	gateways []usage
 	store    standin.StoreStats
@@ -180,7 +199,7 @@
 }
 
 func (c *Cluster) sample() sample {
-	s := sample{at: time.Now()}
+	s := sample{at: time.Now(), own: ownCPU()}
 	for _, node := range c.Agents {
 		s.agents = append(s.agents, node.Usage())
 	}
@@ -221,6 +240,31 @@
 	}
 }
 
+// costOf computes the processor time per started task by role, over the arrivals' duration.
+func (o *observation) costOf(r *Result, before, after sample) {
+	started := 0
+	for _, s := range o.starts {
+		if s.at >= 0 && s.at < o.duration {
+			started++
+		}
+	}
+	if started == 0 {
+		return
+	}
+	perTask := func(cpu time.Duration) float64 { return float64(cpu.Microseconds()) / float64(started) }
+	r.AgentCPUPerTaskUS = perTask(sumCPU(after.agents) - sumCPU(before.agents))
+	r.GatewayCPUPerTaskUS = perTask(sumCPU(after.gateways) - sumCPU(before.gateways))
+	r.BenchCPUPerTaskUS = perTask(after.own - before.own)
+}
+
+func sumCPU(all []usage) time.Duration {
+	var sum time.Duration
+	for _, u := range all {
+		sum += u.cpu
+	}
+	return sum
+}
+
 func meanUsage(before, after []usage, seconds float64) (cpuPercent, rssMB float64) {
 	for i := range after {
 		cpuPercent += (after[i].cpu - before[i].cpu).Seconds() / seconds * 100 / float64(len(after))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,7 +2,7 @@
 // reports every fault at once.
 //
 // A settings struct embeds Common and describes each field by tags: `arg` and `help` as in go-arg, `min`, `max` and
-// `unit` for Int and Duration, `check` (name, hostport, port, url, file, word:a|b) for strings, `required` and
+// `unit` for Int and Duration, `check` (name, hostport, loopback, port, url, file, word:a|b) for strings, `required` and
 // `secret`.
 package settings
 
@@ -26,6 +26,7 @@
 type Common struct {
 	LogLevel      string `arg:"--log-level,env:ROSEDRIFT_LOG_LEVEL" default:"info" check:"word:debug|info|warn|error" help:"lowest level of log lines: debug, info, warn or error"`
 	LogFormat     string `arg:"--log-format,env:ROSEDRIFT_LOG_FORMAT" default:"logfmt" check:"word:logfmt|json" help:"format of log lines: logfmt or json"`
+	PprofListen   string `arg:"--pprof-listen,env:ROSEDRIFT_PPROF_LISTEN" check:"loopback" help:"loopback address (host:port) that serves profiles of the process; empty serves none"`
 	Check         bool   `arg:"--check" help:"check the settings and exit"`
 	PrintSettings bool   `arg:"--print-settings" help:"print the settings in force, secrets masked, and exit"`
 }
@@ -196,6 +197,8 @@
 		return checkName(text)
 	case "hostport":
 		return checkHostPort(text)
+	case "loopback":
+		return checkLoopback(text)
 	case "url":
 		return checkURL(text)
 	case "file":
@@ -224,6 +227,16 @@
 	return ""
 }
 
+func checkLoopback(text string) string {
+	if why := checkHostPort(text); why != "" {
+		return why
+	}
+	if !IsLoopback(text) {
+		return fmt.Sprintf("%q is no loopback address", text)
+	}
+	return ""
+}
+
 func checkURL(text string) string {
 	u, err := url.Parse(text)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -12,14 +12,14 @@
 	var g Gateway
 	var out bytes.Buffer
 	err := Parse("rosedrift-gateway", []string{"--zone", "Über", "--listen", "nowhere", "--store", "ftp://x",
-		"--drain-timeout", "never", "--held-bytes", "1", "--log-level", "loud"}, &out, &g)
+		"--drain-timeout", "never", "--held-bytes", "1", "--log-level", "loud", "--pprof-listen", "0.0.0.0:6060"}, &out, &g)
 	var faults Faults
 	require.ErrorAs(t, err, &faults)
 	var fields []string
 	for _, f := range faults {
 		fields = append(fields, f.Field)
 	}
-	require.Equal(t, []string{"--log-level", "--name", "--zone", "--listen", "--store", "--drain-timeout",
+	require.Equal(t, []string{"--log-level", "--pprof-listen", "--name", "--zone", "--listen", "--store", "--drain-timeout",
 		"--held-bytes", "--keys-file"}, fields)
 	require.Contains(t, err.Error(), "1048576 to 68719476736 bytes")
 }
