Agent: own HTTP/1.1 connections to the backend server

Cause: http.Transport needs two goroutines for each connection and hands every request and answer between them and the caller, and each task got a context with a timer. Now the task's goroutine writes with Request.Write and reads with http.ReadResponse on a pooled connection; the timeout is the connection's deadline, and an abort closes the connection. Kept: the check of the right to start at the first written byte, a second connection only if nothing was written, no reuse after an abort, an error, an answer of another task or a server that names no task, at most as many connections as announced, 30 s of idleness, a bounded header. An idle connection that the server closed or wrote to is found by a read before its next use. Changed: an answer that arrives before a large request is written out is not read, the task fails with the error of the write. Ruled out: keeping the Transport with fewer options, since its goroutines are the cost.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -8,8 +8,8 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -42,13 +42,16 @@
 
 // backendClient runs tasks at one address of the backend server.
 //
+// It speaks HTTP/1.1 on connections of its own instead of an http.Transport, which needs two more goroutines for each
+// connection and several switches between them for each task.
+//
 // An answer must be that of its own task. An answer that repeats the headers of another task fails the task, and
 // the connections are closed. A server that does not repeat the headers gets a new connection for each task, since
 // a doubled answer could not be told from the next one.
 type backendClient struct {
 	address     string
 	connections int
-	transport   *http.Transport
+	pool        *connPool
 	// echoes is true once the server has repeated the headers.
 	echoes atomic.Bool
 	// admit is asked right before a request is written.
@@ -61,17 +64,11 @@
 		address:     address,
 		connections: connections,
 		admit:       admit,
-		transport: &http.Transport{
-			DialContext:         dialBackend,
-			MaxConnsPerHost:     connections,
-			MaxIdleConnsPerHost: connections,
-			IdleConnTimeout:     backendIdleTimeout,
-			DisableCompression:  true,
-		},
+		pool:        newConnPool(address, connections),
 	}
 }
 
-func (c *backendClient) close() { c.transport.CloseIdleConnections() }
+func (c *backendClient) close() { c.pool.closeIdle() }
 
 // States of a gate.
 const (
@@ -108,55 +105,22 @@
 	return g.state.CompareAndSwap(gateOpen, gatePassed)
 }
 
+// isOpen reports whether no byte of the request has been written and it may still pass.
+func (g *gate) isOpen() bool { return g.state.Load() == gateOpen }
+
 // runTime returns the time since the passing.
 func (g *gate) runTime() time.Duration {
 	return time.Since(g.created) - time.Duration(g.passedAfter.Load())
 }
 
-// gatedConn is a connection to the backend server. It carries one request at a time.
-type gatedConn struct {
-	net.Conn
-	gate atomic.Pointer[gate]
-}
-
-// Write fails with errStale if the request has not begun and may not start.
-func (c *gatedConn) Write(p []byte) (int, error) {
-	g := c.gate.Load()
-	if g == nil {
-		return c.Conn.Write(p)
-	}
-	first := g.state.Load() == gateOpen
-	if !g.pass() {
-		return 0, errStale
-	}
-	n, err := c.Conn.Write(p)
-	if first && n == 0 {
-		// The server had closed the idle connection; the transport may try another one.
-		g.state.Store(gateOpen)
-	}
-	return n, err
-}
-
-// dialBackend connects to the backend server.
-func dialBackend(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: backendDialTimeout}
-	conn, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return &gatedConn{Conn: conn}, nil
-}
-
 // run runs a task and returns its end. The context aborts it.
 func (c *backendClient) run(ctx context.Context, task *structs.TaskStart, maxResult int64) Ended {
 	timeout := task.Timeout
 	if timeout <= 0 {
 		timeout = structs.DefaultTaskTimeout
 	}
-	limited, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	g := &gate{admit: c.admit, created: time.Now()}
-	result, err := c.exchange(limited, task, g, maxResult)
+	result, err := c.exchange(ctx, g.created.Add(timeout), task, g, maxResult)
 	ended := Ended{Task: task.Task, Kind: structs.TaskFinished, Result: result}
 	unsent := g.close()
 	if !unsent {
@@ -172,7 +136,7 @@
 		ended.Unreachable = isDialError(err)
 	case ctx.Err() != nil:
 		ended.Kind = structs.TaskAborted
-	case errors.Is(limited.Err(), context.DeadlineExceeded):
+	case isTimeout(err):
 		ended.Kind = structs.TaskFailed
 		ended.Error = fmt.Sprintf("no answer within the task timeout of %s", timeout)
 	default:
@@ -186,54 +150,70 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// exchange sends the request once and reads the answer. It uses the transport directly, because http.Client would
-// send the request again on a redirect.
-func (c *backendClient) exchange(ctx context.Context, task *structs.TaskStart, g *gate, maxResult int64) ([]byte, error) {
-	request := c.newRequest(ctx, task.Payload, g)
-	job, index := task.Task.Job.String(), strconv.FormatUint(uint64(task.Task.Index), 10)
-	request.Header[headerJob] = []string{job}
-	request.Header[headerTask] = []string{index}
-	if task.Kind != "" {
-		request.Header[headerKind] = []string{task.Kind}
+// isTimeout reports whether an error is that of the deadline of a connection or of a context.
+func isTimeout(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded)
+}
+
+// exchange sends the request and reads the answer. The request is sent on a second connection only if not a byte was
+// written to the first one.
+func (c *backendClient) exchange(
+	ctx context.Context, deadline time.Time, task *structs.TaskStart, g *gate, maxResult int64,
+) ([]byte, error) {
+	if err := c.pool.acquire(ctx, deadline); err != nil {
+		return nil, err
 	}
+	defer c.pool.release()
+	job, index := task.Task.Job.String(), strconv.FormatUint(uint64(task.Task.Index), 10)
 	reuse := c.echoes.Load()
-	request.Close = !reuse
-	response, err := c.transport.RoundTrip(request)
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := c.pool.connect(ctx, deadline, reuse)
+		if err != nil {
+			return nil, err
+		}
+		conn.gate = g
+		response, err := conn.roundTrip(ctx, c.newRequest(task, job, index, !reuse))
+		if err != nil && conn.used && g.isOpen() && ctx.Err() == nil && !errors.Is(err, errStale) {
+			// The server had closed the idle connection.
+			conn.close()
+			continue
+		}
+		if err != nil {
+			conn.close()
+			return nil, err
+		}
+		result, err := c.readResult(response, job, index, reuse, maxResult)
+		if aborted := !conn.unwatch(); err != nil || aborted || !reuse || !conn.reusable(response) {
+			conn.close()
+			return result, err
+		}
+		c.pool.put(conn)
+		return result, nil
 	}
-	defer func() { _ = response.Body.Close() }()
+}
+
+func (c *backendClient) readResult(response *http.Response, job, index string, reuse bool, maxResult int64) ([]byte, error) {
 	if err := c.checkEcho(response, job, index, reuse); err != nil {
 		return nil, err
 	}
 	return readAnswer(response, maxResult)
 }
 
-func (c *backendClient) newRequest(ctx context.Context, payload []byte, g *gate) *http.Request {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*gatedConn); ok {
-			conn.gate.Store(g)
-		}
-	}}
-	request := (&http.Request{
+func (c *backendClient) newRequest(task *structs.TaskStart, job, index string, last bool) *http.Request {
+	request := &http.Request{
 		Method:        http.MethodPost,
-		URL:           &url.URL{Scheme: "http", Host: c.address, Path: "/run"},
+		URL:           &url.URL{Path: "/run"},
 		Host:          c.address,
-		Header:        make(http.Header, 3),
+		Header:        http.Header{headerJob: {job}, headerTask: {index}},
 		Body:          http.NoBody,
-		ContentLength: int64(len(payload)),
-	}).WithContext(httptrace.WithClientTrace(ctx, trace))
-	if len(payload) == 0 {
-		return request
+		ContentLength: int64(len(task.Payload)),
+		Close:         last,
 	}
-	// For a reader in memory the transport writes header and body at once.
-	request.Body = io.NopCloser(bytes.NewReader(payload))
-	// The transport uses GetBody only if it has written nothing to a connection that the server had closed.
-	request.GetBody = func() (io.ReadCloser, error) {
-		if !c.admit() {
-			return nil, errStale
-		}
-		return io.NopCloser(bytes.NewReader(payload)), nil
+	if task.Kind != "" {
+		request.Header[headerKind] = []string{task.Kind}
+	}
+	if len(task.Payload) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(task.Payload))
 	}
 	return request
 }
@@ -248,7 +228,7 @@
 		return nil
 	}
 	c.echoes.Store(false)
-	c.transport.CloseIdleConnections()
+	c.pool.closeIdle()
 	if gotJob == "" && gotTask == "" {
 		return fmt.Errorf("the answer on a shared connection names no task (headers %s, %s)", headerJob, headerTask)
 	}
