--- a/cmd/rosedrift-bench/main.go
+++ b/cmd/rosedrift-bench/main.go
@@ -27,11 +27,12 @@
 	JSON     bool          `arg:"--json" help:"print nothing but the JSON object"`
 	Report   string        `arg:"--report" help:"directory for an HTML report"`
 	Dir      string        `arg:"--dir" help:"directory for programs and logs; default: a temporary one"`
-	Profiles bool          `arg:"--profiles" help:"write processor profiles (NAME.pprof) of the bench, the gateways and one agent into --dir"`
+	Profiles bool          `arg:"--profiles" help:"write processor profiles (NAME.pprof) of the bench, the gateways and some agents into --dir"`
 	// The size of the profile can be overridden to measure slopes.
-	Instances int `arg:"--instances" help:"number of backend servers, 0 for the profile's"`
-	Gateways  int `arg:"--gateways" help:"number of gateways, 0 for the profile's"`
-	Pools     int `arg:"--pools" help:"number of pools, 0 for the profile's"`
+	Instances int     `arg:"--instances" help:"number of backend servers, 0 for the profile's"`
+	Gateways  int     `arg:"--gateways" help:"number of gateways, 0 for the profile's"`
+	TaskRate  float64 `arg:"--task-rate" help:"tasks offered per second in place of the scenario's load, 0 for the scenario's"`
+	Pools     int     `arg:"--pools" help:"number of pools, 0 for the profile's"`
 }
 
 // Exit codes.
@@ -95,7 +96,7 @@
 	}
 	return bench.Config{
 		Scenario: scenario, Profile: profile, Policy: o.Policy, Seed: o.Seed, Duration: o.Duration, Dir: o.Dir,
-		Profiles: o.Profiles,
+		Profiles: o.Profiles, TaskRate: o.TaskRate,
 	}, nil
 }
 
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -29,7 +29,7 @@
 	Agents   []*AgentNode
 
 	client *http.Client
-	// profiles makes the gateways and one agent serve profiles.
+	// profiles makes the gateways and some agents serve profiles.
 	profiles bool
 	// direct leaves the relays of links and store out of the way.
 	direct bool
@@ -205,7 +205,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.profiles && i == 0 {
+	if c.profiles && i < profiledAgents {
 		if err := process.enableProfiles(); err != nil {
 			return nil, err
 		}
--- a/internal/bench/profiling.go
+++ b/internal/bench/profiling.go
@@ -15,17 +15,22 @@
 // profileWindow is the part of the duration that profiles cover, from its middle on.
 const profileWindow = 0.4
 
-// profileTargets returns the profiling addresses of the gateways and of the first agent by process name.
+// profiledAgents is the number of profiled agents. One agent alone is sampled too seldom to show its costs.
+const profiledAgents = 16
+
+// profileTargets returns the profiling addresses of the gateways and of the first agents by process name.
 func (c *Cluster) profileTargets() map[string]string {
 	targets := map[string]string{}
 	for _, node := range c.Gateways {
 		targets[node.Name] = node.profiles
 	}
-	targets[c.Agents[0].Name] = c.Agents[0].profiles
+	for _, node := range c.Agents[:min(profiledAgents, len(c.Agents))] {
+		targets[node.Name] = node.profiles
+	}
 	return targets
 }
 
-// collectProfiles writes processor profiles of the bench, the gateways and one agent to files NAME.pprof.
+// collectProfiles writes processor profiles of the bench, the gateways and some agents to files NAME.pprof.
 func (c *Cluster) collectProfiles(ctx context.Context, duration time.Duration) error {
 	if !sleepUntil(ctx, c.started.Add(duration/2)) {
 		return ctx.Err()
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -24,7 +24,9 @@
 	Duration time.Duration
 	// Dir receives programs and logs; empty means a new temporary directory.
 	Dir string
-	// Profiles writes processor profiles of the bench, the gateways and one agent into Dir.
+	// TaskRate, if above 0, replaces the offered load by a number of tasks per second.
+	TaskRate float64
+	// Profiles writes processor profiles of the bench, the gateways and some agents into Dir.
 	Profiles bool
 }
 
@@ -65,6 +67,9 @@
 	defer func() { _ = log.Close() }()
 	cluster.log = log
 	load := config.Scenario.Load(config.Duration)
+	if config.TaskRate > 0 {
+		load.TaskRate = config.TaskRate
+	}
 	jobs := Generate(config.Profile, load, config.Seed)
 	scriptCtx, stopScript := context.WithCancel(ctx)
 	defer stopScript()
