Link: write a bulk batch at once unless one was just written

Cause: every bulk message on a quiet link waited for a timer of 1 ms, a wake-up of its own for the process. An agent ends fewer than 400 tasks/s at the planned rate, so most batches hold one message anyway. Bulk now collects until 1 ms after the batch before; the bounds of 1 ms and 32 KB stay. Ruled out: sending events as urgent, which would end their batching.

--- a/internal/link/api.go
+++ b/internal/link/api.go
@@ -1,7 +1,7 @@
 // Package link connects rosedrift processes by WebSocket connections that carry batches of CBOR envelopes.
 //
-// Urgent envelopes are written at once and before waiting ones; the others collect for up to BatchDelay or
-// BatchBytes. Both directions pass through bounded queues; one goroutine reads and one writes.
+// Urgent envelopes are written at once and before waiting ones; the others collect until BatchDelay after the batch
+// before or up to BatchBytes. Both directions pass through bounded queues; one goroutine reads and one writes.
 package link
 
 import (
--- a/internal/link/queue.go
+++ b/internal/link/queue.go
@@ -51,8 +51,8 @@
 // queues holds the waiting envelopes of a link by class. It is guarded by Link.mu.
 type queues struct {
 	rings [classes]ring
-	// bulkSince is when the bulk ring became non-empty.
-	bulkSince time.Time
+	// taken is when the last batch was taken.
+	taken time.Time
 }
 
 func (q *queues) empty() bool {
@@ -69,13 +69,12 @@
 	if class != Bulk {
 		return true, true
 	}
-	if first {
-		q.bulkSince = time.Now()
-	}
 	return true, first || bulk.bytes >= BatchBytes
 }
 
-// due reports whether a batch must be written now and, if only bulk waits, how long it may still collect.
+// due reports whether a batch must be written now and, if only bulk waits, how long it may still collect. Bulk collects
+// only after another batch: on a link with less than one message per BatchDelay it would gain nothing, and a timer
+// for each message costs a wake-up of the process.
 func (q *queues) due(flush bool) (now bool, wait time.Duration) {
 	if q.rings[Control].count+q.rings[Urgent].count > 0 {
 		return true, 0
@@ -87,7 +86,7 @@
 	if flush || bulk.bytes >= BatchBytes {
 		return true, 0
 	}
-	wait = BatchDelay - time.Since(q.bulkSince)
+	wait = BatchDelay - time.Since(q.taken)
 	return wait <= 0, wait
 }
 
@@ -95,6 +94,7 @@
 // that a larger one passes alone.
 func (q *queues) take(batch []structs.Envelope) []structs.Envelope {
 	size := 0
+	q.taken = time.Now()
 	for class := range q.rings {
 		ring := &q.rings[class]
 		for ring.count > 0 {
