Bench: choose ports below the range of outgoing connections

Cause: a port that was free at the choice was taken by a relay on port 0 or an outgoing connection before the process bound it. Seen twice in eight starts of 110 agents: 'connection refused' of a gateway's healthz and 109 of 110 backend servers ready. After: ports from 10,000 to 29,999, from a random begin, each tried.

--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -7,11 +7,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rosedrift.example/rosedrift/internal/standin"
@@ -368,14 +371,30 @@
 	}
 }
 
+// Ports of the processes under test lie below the range from which Linux takes ports of outgoing connections and of
+// listeners on port 0 (32768 and up), so that none of these takes a port between the choice and its use.
+const (
+	firstPort = 10_000
+	portCount = 20_000
+)
+
+// nextPort is the number of ports given out, from a random begin so that benches side by side rarely meet.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(portCount)) }
+
 // freeAddr returns a loopback address that was free a moment ago.
 func freeAddr() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var listener net.Listener
+	var err error
+	for range portCount {
+		port := firstPort + int(nextPort.Add(1)%portCount)
+		listener, err = net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err == nil {
+			return listener.Addr().String(), listener.Close()
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", err
 }
 
 // tempDir returns a directory for programs and logs.
