--- a/cmd/rosedrift-agent/main.go
+++ b/cmd/rosedrift-agent/main.go
@@ -40,6 +40,11 @@
 	if err != nil {
 		return err
 	}
+	stopProfiles, err := telemetry.ServeProfiles(s.PprofListen)
+	if err != nil {
+		return err
+	}
+	defer stopProfiles()
 	metrics := telemetry.NewMetrics("rosedrift_agent", map[string]string{"zone": s.Zone})
 	defer func() { _ = metrics.Close() }()
 	a, err := agent.NewAgent(agent.ProcessOptions{
--- a/cmd/rosedrift-bench/main.go
+++ b/cmd/rosedrift-bench/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -27,14 +28,20 @@
 	JSON     bool          `arg:"--json" help:"print nothing but the JSON object"`
 	Report   string        `arg:"--report" help:"directory for an HTML report"`
 	Dir      string        `arg:"--dir" help:"directory for programs and logs; default: a temporary one"`
+	Profiles bool          `arg:"--profiles" help:"write processor profiles (NAME.pprof) of the bench, the gateways and some agents into --dir"`
 	// The size of the profile can be overridden to measure slopes.
-	Instances int `arg:"--instances" help:"number of backend servers, 0 for the profile's"`
-	Gateways  int `arg:"--gateways" help:"number of gateways, 0 for the profile's"`
-	Pools     int `arg:"--pools" help:"number of pools, 0 for the profile's"`
+	Instances int     `arg:"--instances" help:"number of backend servers, 0 for the profile's"`
+	Gateways  int     `arg:"--gateways" help:"number of gateways, 0 for the profile's"`
+	TaskRate  float64 `arg:"--task-rate" help:"tasks offered per second in place of the scenario's load, 0 for the scenario's"`
+	Pools     int     `arg:"--pools" help:"number of pools, 0 for the profile's"`
 	// Settings change the policy of the service for experiments.
 	Settings []string `arg:"--set,separate" help:"setting of the service, for example 'urgent_reserve 0.1'"`
 }
 
+// gcPercent lets the heap grow to five times the live data between collections. The process holds the callers, the
+// arrivals and the stand-ins, whose collections would take time from the processes under test.
+const gcPercent = 400
+
 // Exit codes.
 const (
 	exitBroken = 1
@@ -53,6 +60,7 @@
 		fmt.Fprintln(os.Stderr, "rosedrift-bench:", err)
 		os.Exit(exitUsage)
 	}
+	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	result, err := bench.Run(ctx, config)
 	stop()
@@ -97,6 +105,7 @@
 	profile.Settings = o.Settings
 	return bench.Config{
 		Scenario: scenario, Profile: profile, Policy: o.Policy, Seed: o.Seed, Duration: o.Duration, Dir: o.Dir,
+		Profiles: o.Profiles, TaskRate: o.TaskRate,
 	}, nil
 }
 
