--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -7,11 +7,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rosedrift.example/rosedrift/internal/standin"
@@ -29,6 +32,10 @@
 	Agents   []*AgentNode
 
 	client *http.Client
+	// profiles makes the gateways and some agents serve profiles.
+	profiles bool
+	// direct leaves the relays of links and store out of the way.
+	direct bool
 	// log receives the steps of the script.
 	log *os.File
 }
@@ -38,6 +45,8 @@
 	*Process
 	// Addr is the address of the caller and admin API.
 	Addr string
+	// linkAddr is the address that agents and other gateways dial.
+	linkAddr string
 	// Links lies between the gateway and the agents and gateways that dial it.
 	Links *Relay
 	// Store lies between the gateway and the store.
@@ -58,8 +67,9 @@
 )
 
 // NewCluster builds the programs, starts every process and waits until all backend servers are ready for work.
-func NewCluster(ctx context.Context, dir string, p Profile, policy string) (*Cluster, error) {
-	c := &Cluster{profile: p, dir: dir, client: &http.Client{Timeout: 10 * time.Second}}
+func NewCluster(ctx context.Context, config Config) (*Cluster, error) {
+	dir, p, policy := config.Dir, config.Profile, config.Policy
+	c := &Cluster{profile: p, dir: dir, profiles: config.Profiles, direct: config.Scenario.Direct, client: &http.Client{Timeout: 10 * time.Second}}
 	if err := build(dir, "rosedrift-standin", "rosedrift-gateway", "rosedrift-agent"); err != nil {
 		return nil, err
 	}
@@ -131,16 +141,25 @@
 	if err != nil {
 		return nil, err
 	}
+	advertise, storeURL := links.Addr(), "http://"+store.Addr()
+	if c.direct {
+		advertise, storeURL = linkAddr, c.storeURL
+	}
 	name := fmt.Sprintf("g%d", i+1)
 	args := []string{
 		"--name", name, "--zone", c.profile.Zone(i), "--listen", addr, "--link-listen", linkAddr,
-		"--advertise", links.Addr(), "--store", "http://" + store.Addr(), "--policy", policy,
+		"--advertise", advertise, "--store", storeURL, "--policy", policy,
 	}
 	process, err := newProcess(c.dir, "rosedrift-gateway", name, args...)
 	if err != nil {
 		return nil, err
 	}
-	return &GatewayNode{Process: process, Addr: addr, Links: links, Store: store}, nil
+	if c.profiles {
+		if err := process.enableProfiles(); err != nil {
+			return nil, err
+		}
+	}
+	return &GatewayNode{Process: process, Addr: addr, linkAddr: advertise, Links: links, Store: store}, nil
 }
 
 // createService creates the service and its teams by operators' commands.
@@ -150,7 +169,7 @@
 	for {
 		_, err := c.Command(ctx, 0, command)
 		if err == nil {
-			return nil
+			return c.applySettings(ctx)
 		}
 		if time.Now().After(limit) {
 			return err
@@ -159,6 +178,15 @@
 	}
 }
 
+func (c *Cluster) applySettings(ctx context.Context) error {
+	for _, setting := range c.profile.Settings {
+		if _, err := c.Command(ctx, 0, "service "+c.profile.Service+" set "+setting); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *Cluster) startAgents() error {
 	for i := range c.profile.Instances {
 		node, err := c.newAgent(i)
@@ -183,12 +211,17 @@
 	name := agentName(i)
 	args := []string{"--name", name, "--zone", c.profile.Zone(i), "--listen", addr, "--gateways"}
 	for _, gateway := range c.Gateways {
-		args = append(args, gateway.Links.Addr())
+		args = append(args, gateway.linkAddr)
 	}
 	process, err := newProcess(c.dir, "rosedrift-agent", name, args...)
 	if err != nil {
 		return nil, err
 	}
+	if c.profiles && i < profiledAgents {
+		if err := process.enableProfiles(); err != nil {
+			return nil, err
+		}
+	}
 	backend, err := standin.NewBackend(standin.BackendOptions{
 		Name: name, Service: c.profile.Service, Address: "127.0.0.1:0", Agent: addr,
 		Slots: c.profile.Slots, Connections: c.profile.Connections,
@@ -247,7 +280,7 @@
 			return nil
 		}
 		if time.Now().After(limit) {
-			return fmt.Errorf("%d of %d backend servers ready: %w", eligible, c.profile.Instances, err)
+			return fmt.Errorf("%d of %d backend servers ready, last error: %w", eligible, c.profile.Instances, err)
 		}
 		time.Sleep(pollInterval)
 	}
@@ -347,14 +380,30 @@
 	}
 }
 
+// Ports of the processes under test lie below the range from which Linux takes ports of outgoing connections and of
+// listeners on port 0 (32768 and up), so that none of these takes a port between the choice and its use.
+const (
+	firstPort = 10_000
+	portCount = 20_000
+)
+
+// nextPort is the number of ports given out, from a random begin so that benches side by side rarely meet.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(portCount)) }
+
 // freeAddr returns a loopback address that was free a moment ago.
 func freeAddr() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var listener net.Listener
+	var err error
+	for range portCount {
+		port := firstPort + int(nextPort.Add(1)%portCount)
+		listener, err = net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err == nil {
+			return listener.Addr().String(), listener.Close()
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", err
 }
 
 // tempDir returns a directory for programs and logs.
