Link: close the connection at the end of a link instead of registering a context for each message

Cause: websocket registers and unregisters a context that can end at each read and write. Ruled out: CloseNow at the end of the link, which waits while a closing handshake is under way; the raw connection's Close ends that, too.

--- /dev/null
+++ b/internal/link/bench_test.go
@@ -0,0 +1,38 @@
+package link
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// countingHandler passes on that a message has arrived.
+type countingHandler chan struct{}
+
+func (h countingHandler) Receive(*Link, []structs.Envelope) { h <- struct{}{} }
+func (h countingHandler) Closed(*Link, error)               {}
+
+// BenchmarkSingleMessages measures a heartbeat on an otherwise idle link, from Send to the peer's handler.
+func BenchmarkSingleMessages(b *testing.B) {
+	got := make(countingHandler, 1)
+	var accepted *Link
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		accepted, _ = Accept(w, r, Options{}, got)
+	}))
+	defer server.Close()
+	l, err := Dial(context.Background(), "ws"+strings.TrimPrefix(server.URL, "http"), Options{}, got)
+	require.NoError(b, err)
+	for b.Loop() {
+		require.NoError(b, l.Send(Control, structs.TypeGatewayHeartbeat, &structs.GatewayHeartbeat{Seq: 1}))
+		<-got
+	}
+	l.Abort()
+	<-l.Done()
+	<-accepted.Done()
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bufio"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -89,12 +90,17 @@
 // Dial connects to a URL (ws, wss, http or https). The context bounds only the connecting. Errors are *Error of
 // KindDial.
 func Dial(ctx context.Context, url string, options Options, handler Handler) (*Link, error) {
+	var raw net.Conn
 	transport := &http.Transport{
 		TLSClientConfig:   options.TLS,
 		ReadBufferSize:    ioBuffer,
 		WriteBufferSize:   ioBuffer,
 		DisableKeepAlives: true,
-		DialContext:       (&net.Dialer{}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			var err error
+			raw, err = (&net.Dialer{}).DialContext(ctx, network, address)
+			return raw, err
+		},
 	}
 	conn, _, err := websocket.Dial(ctx, url, &websocket.DialOptions{
 		HTTPClient:      &http.Client{Transport: transport},
@@ -104,20 +110,36 @@
 	if err != nil {
 		return nil, &Error{Kind: KindDial, Peer: url, Err: err}
 	}
-	return start(conn, url, options, handler), nil
+	return start(conn, raw, url, options, handler), nil
 }
 
 // Accept upgrades a request to a link. It returns after the upgrade; Done tells the end. After an error, which is an
 // *Error of KindDial, the response has been written.
 func Accept(w http.ResponseWriter, r *http.Request, options Options, handler Handler) (*Link, error) {
-	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	hijacked := &hijacker{ResponseWriter: w}
+	conn, err := websocket.Accept(hijacked, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		return nil, &Error{Kind: KindDial, Peer: r.RemoteAddr, Err: err}
 	}
-	return start(conn, r.RemoteAddr, options, handler), nil
+	return start(conn, hijacked.raw, r.RemoteAddr, options, handler), nil
 }
 
-func start(conn *websocket.Conn, peer string, options Options, handler Handler) *Link {
+// hijacker keeps the connection that an upgrade takes from the HTTP server.
+type hijacker struct {
+	http.ResponseWriter
+	raw net.Conn
+}
+
+// Hijack implements http.Hijacker.
+func (h *hijacker) Hijack() (net.Conn, *bufio.ReadWriter, error) {
+	raw, buffers, err := http.NewResponseController(h.ResponseWriter).Hijack()
+	h.raw = raw
+	return raw, buffers, err
+}
+
+// start begins a link. The end of its context closes raw, and with it every read and write. A context that is passed
+// to each of them would be registered and unregistered for each message.
+func start(conn *websocket.Conn, raw net.Conn, peer string, options Options, handler Handler) *Link {
 	if options.ReadTimeout <= 0 {
 		options.ReadTimeout = structs.LostAfter
 	}
@@ -135,6 +157,7 @@
 		done:    make(chan struct{}),
 	}
 	l.ctx, l.cancel = context.WithCancelCause(context.Background())
+	context.AfterFunc(l.ctx, func() { _ = raw.Close() })
 	l.silence = time.AfterFunc(options.ReadTimeout, func() { l.fail(KindSilent, nil) })
 	l.stall = time.AfterFunc(time.Hour, func() { l.fail(KindStalled, nil) })
 	l.stall.Stop()
@@ -239,7 +262,7 @@
 }
 
 func (l *Link) readMessage(buf []byte) ([]byte, error) {
-	_, reader, err := l.conn.Reader(l.ctx)
+	_, reader, err := l.conn.Reader(context.Background())
 	if err != nil {
 		return buf, err
 	}
@@ -399,7 +422,7 @@
 		return
 	}
 	l.stall.Reset(WriteTimeout)
-	err := l.conn.Write(l.ctx, websocket.MessageBinary, raw)
+	err := l.conn.Write(context.Background(), websocket.MessageBinary, raw)
 	l.stall.Stop()
 	if err != nil {
 		l.fail(KindPeerClosed, err)
