Number the starts of an epoch in messages

Purpose: TaskStart, TaskEvent and TaskRecord carry an attempt number (the record also its epoch), so that an event and a record name one start. Fields are added at the end of each array; all processes must run the same version.

--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -126,6 +126,8 @@
 	Result   []byte
 	// Error says why a task failed or was refused.
 	Error string
+	// Attempt is TaskStart.Attempt of the start that the event is about, 0 for TaskNotWithdrawn.
+	Attempt uint64
 }
 
 // TaskEvents is a batch of events.
@@ -144,6 +146,8 @@
 	// Timeout bounds the run time.
 	Timeout time.Duration
 	Payload []byte
+	// Attempt numbers all starts of an epoch from 1, so that epoch and attempt name one start.
+	Attempt uint64
 }
 
 // Start is a batch of starts under one epoch. An agent refuses all of them if it has promised a higher epoch.
@@ -191,6 +195,9 @@
 	_     struct{} `cbor:",toarray"`
 	Index uint32
 	State RecordState
+	// Epoch and Attempt name the start that the record is of.
+	Epoch   Epoch
+	Attempt uint64
 }
 
 // JobRecords holds an agent's start records of one job.
