Match refusals with starts by attempt and send refused tasks to the same agent again

Cause: a refusal named only the task, so a late duplicate could pass for the answer to a second start at the same agent. The owner therefore excluded the agent for that task, and a service with one agent never recovered from a refusal. Invariant: a sent task goes back to the queue only by a refusal or withdrawal of its last start, named by epoch and attempt. Adopted tasks take both from the agent's record. Ruled out: keeping the exclusion for a time (a late duplicate has no bound). Before: a task refused by the only agent waited until its deadline. TestDuplicateRefusalIsNoProof had required that the agent never gets the task again; it now requires the second start and that the duplicate does not return it. Conclusion: the exclusion, parking of jobs and Events.Unsent are gone.

--- a/internal/agent/machine_test.go
+++ b/internal/agent/machine_test.go
@@ -57,22 +57,27 @@
 	revision structs.Revision
 	blocked  bool
 	stopping bool
-	// open holds received starts without a terminal event, epochs the epoch of each, ran those handed out, ended the tasks that have a
+	// open holds received starts without a terminal event, epochs the epoch of each start, ran those handed out, ended the tasks that have a
 	// record of their end.
-	open    map[structs.TaskRef]bool
-	epochs  map[structs.TaskRef]structs.Epoch
-	ran     map[structs.TaskRef]bool
-	ended   map[structs.TaskRef]structs.TaskEventKind
-	aborted map[structs.TaskRef]bool
-	stopped int
+	open   map[structs.TaskRef]bool
+	epochs map[uint64]structs.Epoch
+	// attempt numbers the starts, unrefused holds the task of each start that was not refused, run the attempt of each
+	// task that was handed out last.
+	attempt   uint64
+	unrefused map[uint64]structs.TaskRef
+	run       map[structs.TaskRef]uint64
+	ran       map[structs.TaskRef]bool
+	ended     map[structs.TaskRef]structs.TaskEventKind
+	aborted   map[structs.TaskRef]bool
+	stopped   int
 }
 
 func newModel(t *rapid.T) *model {
 	s := &model{
 		t: t, m: New(0, Options{Self: testSelf, Zone: testZone}), nextLink: 1, fresh: never, alive: never,
-		beats: map[LinkID][]time.Duration{}, open: map[structs.TaskRef]bool{}, epochs: map[structs.TaskRef]structs.Epoch{},
+		beats: map[LinkID][]time.Duration{}, open: map[structs.TaskRef]bool{}, epochs: map[uint64]structs.Epoch{},
 		ran: map[structs.TaskRef]bool{}, ended: map[structs.TaskRef]structs.TaskEventKind{},
-		aborted: map[structs.TaskRef]bool{},
+		aborted: map[structs.TaskRef]bool{}, unrefused: map[uint64]structs.TaskRef{}, run: map[structs.TaskRef]uint64{},
 	}
 	s.announce()
 	s.linkUp()
@@ -86,6 +91,9 @@
 		switch action := action.(type) {
 		case Run:
 			s.checkRun(action.Task.Task, action.Task.Priority)
+			require.Equal(s.t, action.Task.Task, s.unrefused[action.Task.Attempt], "a refused start ran")
+			require.Equal(s.t, s.promised, s.epochs[action.Task.Attempt], "a task started under an epoch that is not promised")
+			s.run[action.Task.Task] = action.Task.Attempt
 		case Send:
 			s.checkSend(action)
 		case Abort:
@@ -101,7 +109,6 @@
 
 func (s *model) checkRun(task structs.TaskRef, priority structs.Priority) {
 	require.Contains(s.t, s.open, task)
-	require.Equal(s.t, s.promised, s.epochs[task], "a task started under an epoch that is not promised")
 	require.False(s.t, s.ran[task], "a task started twice")
 	require.NotContains(s.t, s.ended, task, "a task started again after its end")
 	s.ran[task] = true
@@ -137,10 +144,13 @@
 	case structs.TaskNotWithdrawn:
 		return
 	case structs.TaskRefused, structs.TaskWithdrawn:
+		require.Equal(s.t, event.Task, s.unrefused[event.Attempt], "a start was refused twice or not sent")
+		delete(s.unrefused, event.Attempt)
 		require.True(s.t, open, "refusal without an open start")
 		require.False(s.t, s.ran[event.Task], "a started task was reported as not started")
 	default:
 		require.Equal(s.t, s.ended[event.Task], event.Kind, "an end was reported with another kind")
+		require.Equal(s.t, s.run[event.Task], event.Attempt, "an end echoes another attempt")
 	}
 	delete(s.open, event.Task)
 }
@@ -189,13 +199,15 @@
 }
 
 func (s *model) start(id LinkID, epoch structs.Epoch, task structs.TaskRef, priority structs.Priority) {
+	s.attempt++
+	s.unrefused[s.attempt] = task
+	s.epochs[s.attempt] = epoch
 	if _, open := s.open[task]; !open {
 		if _, ended := s.ended[task]; !ended {
 			s.open[task] = true
-			s.epochs[task] = epoch
 		}
 	}
-	start := &structs.Start{Epoch: epoch, Tasks: []structs.TaskStart{{Task: task, Priority: priority}}}
+	start := &structs.Start{Epoch: epoch, Tasks: []structs.TaskStart{{Task: task, Priority: priority, Attempt: s.attempt}}}
 	s.do(Received{Link: id, Message: start})
 }
 
@@ -333,7 +345,7 @@
 	m.Step(0, LinkUp{Link: 1})
 	const count = 70
 	for i := range count {
-		m.records.add(testTask(1, i), 1, false)
+		m.records.add(&structs.TaskStart{Task: testTask(1, i)}, 1)
 		m.records.end(0, Ended{Task: testTask(1, i), Kind: structs.TaskFinished, Result: make([]byte, 900<<10)})
 	}
 	fetch := Received{Link: 1, Message: &structs.FetchResults{Job: testTask(1, 0).Job}}
@@ -371,7 +383,7 @@
 			if s.full() {
 				continue
 			}
-			s.add(task, 1, false)
+			s.add(&structs.TaskStart{Task: task}, 1)
 			s.end(now, Ended{Task: task, Kind: structs.TaskFinished, Result: make([]byte, rapid.IntRange(0, 2000).Draw(t, "size"))})
 			ends[keyOf(task)] = now
 			require.LessOrEqual(t, s.overhead+s.resultBytes, int64(limit))
--- a/internal/agent/owners.go
+++ b/internal/agent/owners.go
@@ -16,7 +16,7 @@
 }
 
 // undeliveredEvent is a refusal or withdrawal that has not been sent on any link. Unlike the end of a task, such an
-// event is sent once at most: a copy could be taken for the refusal of a later start of the same task.
+// event is sent once at most.
 type undeliveredEvent struct {
 	epoch structs.Epoch
 	event structs.TaskEvent
@@ -196,8 +196,7 @@
 	m.undelivered = append(m.undelivered, waiting)
 }
 
-// dropUndelivered forgets the refusal of an earlier start of a task that has been sent again: after the new start it
-// could be taken for the refusal of that one.
+// dropUndelivered forgets the refusal of an earlier start of a task that has been sent again: the owner knows of it.
 func (m *Machine) dropUndelivered(task structs.TaskRef) {
 	m.undelivered = slices.DeleteFunc(m.undelivered, func(e undeliveredEvent) bool { return e.event.Task == task })
 }
--- a/internal/agent/records.go
+++ b/internal/agent/records.go
@@ -30,6 +30,7 @@
 	result  []byte
 	runTime time.Duration
 	epoch   structs.Epoch
+	attempt uint64
 	index   uint32
 	state   structs.RecordState
 	kind    structs.TaskEventKind
@@ -92,7 +93,8 @@
 }
 
 // add records a start.
-func (s *recordStore) add(task structs.TaskRef, epoch structs.Epoch, urgent bool) {
+func (s *recordStore) add(start *structs.TaskStart, epoch structs.Epoch) {
+	task := start.Task
 	job := s.jobs[task.Job.Key]
 	if job == nil {
 		job = &jobRecords{id: task.Job}
@@ -102,7 +104,8 @@
 	at, known := job.find(task.Index)
 	assert(!known, "a task is started once")
 	job.records = slices.Insert(job.records, at, record{
-		index: task.Index, state: structs.RecordRunning, epoch: epoch, urgent: urgent,
+		index: task.Index, state: structs.RecordRunning, epoch: epoch, attempt: start.Attempt,
+		urgent: start.Priority == structs.Urgent,
 	})
 	job.running++
 	s.count++
@@ -193,7 +196,7 @@
 
 // event returns the terminal event of an ended task. A finished task whose result was dropped is reported as failed.
 func (r *record) event(task structs.TaskRef) structs.TaskEvent {
-	event := structs.TaskEvent{Task: task, Kind: r.kind, RunTime: r.runTime}
+	event := structs.TaskEvent{Task: task, Kind: r.kind, RunTime: r.runTime, Attempt: r.attempt}
 	switch r.state {
 	case structs.RecordEvicted:
 		event.Kind = structs.TaskFailed
@@ -212,7 +215,7 @@
 	for key, job := range s.jobs {
 		tasks := make([]structs.TaskRecord, len(job.records))
 		for i, r := range job.records {
-			tasks[i] = structs.TaskRecord{Index: r.index, State: r.state}
+			tasks[i] = structs.TaskRecord{Index: r.index, State: r.state, Epoch: r.epoch, Attempt: r.attempt}
 		}
 		if len(tasks) > 0 {
 			jobs = append(jobs, structs.JobRecords{Key: key, Tasks: tasks})
--- a/internal/agent/starts.go
+++ b/internal/agent/starts.go
@@ -29,7 +29,7 @@
 		if reason := m.admit(&entry); reason != "" {
 			m.stats.Refused++
 			events = append(events, structs.TaskEvent{
-				Task: entry.task.Task, Kind: structs.TaskRefused, Error: reason,
+				Task: entry.task.Task, Kind: structs.TaskRefused, Error: reason, Attempt: entry.task.Attempt,
 			})
 		}
 	}
@@ -111,7 +111,7 @@
 	assert(entry.epoch == m.promised, "a task starts only under the promised epoch")
 	assert(m.now-m.freshAt < structs.AgentFreshness, "a task starts only with a fresh heartbeat")
 	task := entry.task.Task
-	m.records.add(task, entry.epoch, entry.task.Priority == structs.Urgent)
+	m.records.add(&entry.task, entry.epoch)
 	m.running[keyOf(task)] = &running{queued: *entry, startedAt: m.now}
 	m.stats.Started++
 	m.emit(Run{Task: entry.task, MaxResult: m.maxResult()})
@@ -161,7 +161,9 @@
 	} else {
 		m.stats.Withdrawn++
 	}
-	m.deliverOnce(entry.from, entry.epoch, structs.TaskEvent{Task: entry.task.Task, Kind: kind, Error: reason})
+	m.deliverOnce(entry.from, entry.epoch, structs.TaskEvent{
+		Task: entry.task.Task, Kind: kind, Error: reason, Attempt: entry.task.Attempt,
+	})
 }
 
 // withdraw answers for each task whether it was still waiting. A task that is not known is reported as not withdrawn:
@@ -172,8 +174,8 @@
 		event := structs.TaskEvent{Task: task, Kind: structs.TaskNotWithdrawn}
 		i := m.queueIndex(keyOf(task))
 		if i >= 0 && message.Epoch == m.queue[i].epoch {
+			event.Kind, event.Attempt = structs.TaskWithdrawn, m.queue[i].task.Attempt
 			m.queue = slices.Delete(m.queue, i, i+1)
-			event.Kind = structs.TaskWithdrawn
 			m.stats.Withdrawn++
 		}
 		events = append(events, event)
@@ -196,7 +198,9 @@
 			return false
 		}
 		m.stats.Withdrawn++
-		events = append(events, structs.TaskEvent{Task: q.task.Task, Kind: structs.TaskWithdrawn})
+		events = append(events, structs.TaskEvent{
+			Task: q.task.Task, Kind: structs.TaskWithdrawn, Attempt: q.task.Attempt,
+		})
 		return true
 	})
 	m.sendEvents(l.id, link.Urgent, message.Epoch, events)
@@ -242,6 +246,7 @@
 		WaitTime: r.startedAt - r.arrivedAt,
 		Result:   in.Result,
 		Error:    in.Error,
+		Attempt:  r.task.Attempt,
 	}
 	m.report(r.epoch, r.task.Priority, event)
 }
--- a/internal/dispatch/adopt.go
+++ b/internal/dispatch/adopt.go
@@ -52,7 +52,9 @@
 
 func (p *Pool) addRecords(j *job, a *agent, tasks []structs.TaskRecord) {
 	for _, t := range tasks {
-		j.records = append(j.records, record{agent: a, index: t.Index, state: t.State})
+		j.records = append(j.records, record{
+			agent: a, index: t.Index, state: t.State, epoch: t.Epoch, attempt: t.Attempt,
+		})
 	}
 }
 
@@ -154,7 +156,7 @@
 			p.recordEnded(j, r.index)
 		case r.state == structs.RecordRunning:
 			p.attach(j, r.index, r.agent, taskSent)
-			j.tasks[r.index].adopted = true
+			j.tasks[r.index].epoch, j.tasks[r.index].attempt = r.epoch, r.attempt
 			p.index.Occupy(r.agent.server)
 		default:
 			p.attach(j, r.index, r.agent, taskRecorded)
--- a/internal/dispatch/api.go
+++ b/internal/dispatch/api.go
@@ -82,12 +82,9 @@
 // are accepted, since adopted tasks were started under them.
 type Events struct {
 	Agent structs.AgentRef
-	// Epoch is TaskEvents.Epoch; 0 stands for the pool's own. A refusal or withdrawal of a lower epoch answers a
-	// start of an earlier owner and proves nothing about a start of this one: it counts only for adopted tasks and
-	// if it is of the epoch before.
-	Epoch structs.Epoch
-	// Unsent is true for refusals made by the shell because no link took the starts. The agent has never seen them.
-	Unsent bool
+	// Epoch is TaskEvents.Epoch; 0 stands for the pool's own, as in refusals made by the shell because no link took
+	// the starts. A refusal or withdrawal counts only if epoch and attempt are those of the task's last start.
+	Epoch  structs.Epoch
 	Events []structs.TaskEvent
 }
 
--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -102,7 +102,7 @@
 		p.clearTask(j, uint32(i))
 	}
 	j.entry, j.kind, j.tasks, j.results = nil, nil, nil, nil
-	j.returned, j.excluded, j.records = nil, nil, nil
+	j.returned, j.records = nil, nil
 	if j.sub != nil {
 		light := *j.sub
 		light.Payloads = nil
@@ -140,7 +140,6 @@
 	p.housekeepingAt = p.now + housekeepingInterval
 	p.forget()
 	p.refusals.forget(p.now)
-	p.unpark()
 	p.urgentShare.roll(p.now)
 	p.expireUnseen()
 	p.expireUnserved()
@@ -217,8 +216,6 @@
 		return "waits for the journal entry of its key"
 	case p.index.Serving() == 0:
 		return "no server is eligible"
-	case j.parked:
-		return "each free server has refused or returned the remaining tasks"
 	case p.queue.Blocked(j.entry):
 		return "the team is at its limit of running tasks"
 	}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -36,11 +36,11 @@
 	case structs.TaskFailed:
 		p.failed(j, a, event)
 	case structs.TaskRefused, structs.TaskWithdrawn:
-		if batch.Epoch != p.startEpoch(&j.tasks[index]) && (batch.Epoch != 0 || j.tasks[index].adopted) {
+		if !p.answers(&j.tasks[index], batch.Epoch, event.Attempt) {
 			p.late(event)
 			return
 		}
-		p.returnTask(j, a, event, batch.Unsent)
+		p.returnTask(j, a, event)
 	case structs.TaskAborted:
 		p.aborted(j, event)
 	case structs.TaskNotWithdrawn:
@@ -49,13 +49,13 @@
 	}
 }
 
-// startEpoch returns the epoch of the start whose refusal proves that a task has not started. The record of an adopted
-// task does not tell its epoch: only the last owner's is taken, since a late refusal may be of any start before.
-func (p *Pool) startEpoch(t *task) structs.Epoch {
-	if t.adopted {
-		return p.options.Epoch - 1
+// answers reports whether an event of an epoch is about the last start of a task. The answer to an earlier start proves
+// nothing about this one. Epoch 0 stands for the pool's own.
+func (p *Pool) answers(t *task, epoch structs.Epoch, attempt uint64) bool {
+	if epoch == 0 {
+		epoch = p.options.Epoch
 	}
-	return p.options.Epoch
+	return epoch == t.epoch && attempt == t.attempt
 }
 
 // late counts an ignored event. The answers to the pool's own cancels are expected and do not count.
@@ -123,9 +123,8 @@
 }
 
 // returnTask puts a task back that provably has not started. An agent also refuses a task that it has a start record of
-// if it could not reach the backend server. unsent says that the agent has not seen the start, so that no duplicate of
-// the event can come from it.
-func (p *Pool) returnTask(j *job, a *agent, event *structs.TaskEvent, unsent bool) {
+// if it could not reach the backend server.
+func (p *Pool) returnTask(j *job, a *agent, event *structs.TaskEvent) {
 	index := event.Task.Index
 	if j.tasks[index].state != taskSent {
 		p.late(event)
@@ -133,9 +132,6 @@
 	}
 	p.detach(j, index)
 	j.tasks[index].state, j.tasks[index].resent = taskWaiting, true
-	if !unsent {
-		j.exclude(index, a.ref)
-	}
 	j.returned = append(j.returned, index)
 	slices.Sort(j.returned)
 	if j.state == jobLive {
@@ -149,11 +145,3 @@
 	}
 	p.stats.Withdrawn++
 }
-
-// exclude keeps a task from being sent to an agent again.
-func (j *job) exclude(index uint32, ref structs.AgentRef) {
-	if j.excluded == nil {
-		j.excluded = make(map[uint32][]structs.AgentRef)
-	}
-	j.excluded[index] = append(j.excluded[index], ref)
-}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -39,8 +39,10 @@
 	state    taskState
 	// resent is set once the task has been returned by an agent.
 	resent bool
-	// adopted is set while the task is sent and was sent by an earlier owner.
-	adopted bool
+	// epoch and attempt name the last start of the task. Invariant: a sent task goes back to the queue only by a
+	// refusal or withdrawal of this very start.
+	epoch   structs.Epoch
+	attempt uint64
 }
 
 // job is one submission.
@@ -57,7 +59,6 @@
 	// journaled says that the key is in the store, inQueueHold that the job waits for that.
 	journaled bool
 	awaiting  bool
-	parked    bool
 	// count is the number of tasks, 0 if unknown.
 	count int
 	// proven says that tasks without a start record have not started, so that they may start.
@@ -67,9 +68,6 @@
 	results  [][]byte
 	fresh    uint32
 	returned []uint32
-	// excluded lists the agents that have returned a task. Events carry no attempt number, so a late duplicate of
-	// such an event would pass for the answer to a second start at the same agent.
-	excluded map[uint32][]structs.AgentRef
 
 	waiting, sent, recorded, finished int
 
@@ -99,6 +97,9 @@
 	agent *agent
 	index uint32
 	state structs.RecordState
+	// epoch and attempt name the start.
+	epoch   structs.Epoch
+	attempt uint64
 }
 
 // started returns the number of tasks that have started or may have started.
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -22,13 +22,16 @@
 	promised structs.Epoch
 	inbox    []Action
 	outbox   []Events
-	records  []*fakeRecord
-	queue    []structs.TaskStart
-	dropped  map[structs.JobID]bool
+	// delivered holds the refusals and withdrawals that the owner has seen. Copies of them arrive later.
+	delivered []Events
+	records   []*fakeRecord
+	queue     []structs.TaskStart
+	dropped   map[structs.JobID]bool
 }
 
 type fakeRecord struct {
 	task   structs.TaskRef
+	start  structs.TaskStart
 	state  structs.RecordState
 	epoch  structs.Epoch
 	result []byte
@@ -41,6 +44,7 @@
 	pool     *Pool
 	twin     *Pool
 	epoch    structs.Epoch
+	attempts map[uint64]bool
 	policy   Policy
 	mode     Mode
 	config   *structs.Configuration
@@ -71,7 +75,7 @@
 	m.step(Configure{Config: m.config})
 	m.step(Adopt{Complete: true})
 	m.setMode(Attached)
-	for range 3 {
+	for range 1 + m.intn(3, "agents") {
 		m.join()
 	}
 	return m
@@ -81,6 +85,7 @@
 func (m *model) newPools() {
 	options := Options{Pool: testPool, Epoch: m.epoch, Policy: m.policy}
 	m.pool, m.twin = New(m.now, options), New(m.now, options)
+	m.attempts = map[uint64]bool{}
 }
 
 func (m *model) intn(n int, label string) int { return rapid.IntRange(0, n-1).Draw(m.T, label) }
@@ -140,9 +145,9 @@
 	}
 	down := f.update
 	down.Eligible = false
-	events := Events{Agent: a.Agent, Unsent: true}
+	events := Events{Agent: a.Agent}
 	for _, task := range a.Start.Tasks {
-		events.Events = append(events.Events, event(task.Task, structs.TaskRefused, ""))
+		events.Events = append(events.Events, answer(task, structs.TaskRefused))
 	}
 	up := f.update
 	up.Relinked = true
@@ -158,6 +163,8 @@
 		isSaved := slices.ContainsFunc(m.journal, func(e JournalEntry) bool { return e.Key == task.Task.Job.Key })
 		require.True(m, sub.Ticketed || isSaved || m.detached, "start before the journal entry")
 		require.Equal(m, sub.Payloads[task.Task.Index], task.Payload)
+		require.False(m, m.attempts[task.Attempt], "an attempt number was used twice")
+		m.attempts[task.Attempt] = true
 	}
 }
 
@@ -249,13 +256,14 @@
 		}
 	case SendWithdraw:
 		for _, ref := range message.Withdraw.Tasks {
-			kind := structs.TaskNotWithdrawn
-			before := len(a.queue)
-			a.queue = slices.DeleteFunc(a.queue, func(s structs.TaskStart) bool { return s.Task == ref })
-			if len(a.queue) < before {
-				kind = structs.TaskWithdrawn
-			}
-			a.report(message.Withdraw.Epoch, event(ref, kind, ""))
+			reply := event(ref, structs.TaskNotWithdrawn, "")
+			a.queue = slices.DeleteFunc(a.queue, func(s structs.TaskStart) bool {
+				if s.Task == ref {
+					reply = answer(s, structs.TaskWithdrawn)
+				}
+				return s.Task == ref
+			})
+			a.report(message.Withdraw.Epoch, reply)
 		}
 	case SendCancel:
 		job := message.Cancel.Job
@@ -282,13 +290,13 @@
 func (m *model) arrive(a *fakeAgent, task structs.TaskStart, epoch structs.Epoch) {
 	switch {
 	case epoch != a.promised || a.refusing || a.dropped[task.Task.Job]:
-		a.report(epoch, event(task.Task, structs.TaskRefused, ""))
+		a.report(epoch, answer(task, structs.TaskRefused))
 	case a.running() < a.update.Slots:
 		m.launch(a, task, epoch)
 	case len(a.queue) < placement.QueueBound:
 		a.queue = append(a.queue, task)
 	default:
-		a.report(epoch, event(task.Task, structs.TaskRefused, ""))
+		a.report(epoch, answer(task, structs.TaskRefused))
 	}
 }
 
@@ -310,7 +318,7 @@
 	m.started[task.Task]++
 	require.Equal(m, 1, m.started[task.Task], "second start of task %d", task.Task.Index)
 	require.False(m, m.notRun[task.Task.Job], "start after not_run")
-	r := &fakeRecord{task: task.Task, state: structs.RecordRunning, epoch: epoch, result: task.Payload}
+	r := &fakeRecord{task: task.Task, start: task, state: structs.RecordRunning, epoch: epoch, result: task.Payload}
 	a.records = append(a.records, r)
 }
 
@@ -351,7 +359,7 @@
 	r := a.records[i]
 	a.records = a.records[:i]
 	m.started[r.task]--
-	a.report(r.epoch, event(r.task, structs.TaskRefused, ""))
+	a.report(r.epoch, answer(r.start, structs.TaskRefused))
 }
 
 func (m *model) endAny(a *fakeAgent, kind structs.TaskEventKind) {
@@ -363,8 +371,46 @@
 	}
 }
 
+// bounce lets an agent refuse what has arrived, take what is sent again, and repeat an old refusal.
+func (m *model) bounce(a *fakeAgent) {
+	a.refusing = true
+	m.actAll(a)
+	a.refusing = false
+	for len(a.outbox) > 0 {
+		m.deliver(a, false)
+	}
+	m.now += 50 * time.Millisecond
+	m.step(Tick{})
+	m.actAll(a)
+	m.repeatRefusal(a)
+}
+
+func (m *model) actAll(a *fakeAgent) {
+	for len(a.inbox) > 0 {
+		m.act(a)
+	}
+}
+
+// repeatRefusal passes a late duplicate of an old refusal in while the task is at the same agent again.
+func (m *model) repeatRefusal(a *fakeAgent) {
+	for _, e := range a.delivered {
+		task := e.Events[0].Task
+		j := m.pool.jobs[task.Job.Key]
+		if j == nil || j.state == jobEnded || int(task.Index) >= len(j.tasks) {
+			continue
+		}
+		if at := j.tasks[task.Index].agent; at != nil && at.ref == a.update.Agent && m.chance(50, "late duplicate") {
+			m.step(e)
+			return
+		}
+	}
+}
+
 // deliver passes one event of an agent, now and then out of order or twice.
 func (m *model) deliver(a *fakeAgent, disturb bool) {
+	if disturb {
+		m.repeatRefusal(a)
+	}
 	if len(a.outbox) == 0 {
 		return
 	}
@@ -376,6 +422,9 @@
 	if !keep {
 		a.outbox = slices.Delete(a.outbox, i, i+1)
 	}
+	if kind := e.Events[0].Kind; kind == structs.TaskRefused || kind == structs.TaskWithdrawn {
+		a.delivered = append(a.delivered, e)
+	}
 	m.step(e)
 }
 
@@ -510,7 +559,9 @@
 			i = len(answer.Jobs)
 			answer.Jobs = append(answer.Jobs, structs.JobRecords{Key: key})
 		}
-		answer.Jobs[i].Tasks = append(answer.Jobs[i].Tasks, structs.TaskRecord{Index: r.task.Index, State: r.state})
+		answer.Jobs[i].Tasks = append(answer.Jobs[i].Tasks, structs.TaskRecord{
+			Index: r.task.Index, State: r.state, Epoch: r.epoch, Attempt: r.start.Attempt,
+		})
 	}
 	return answer
 }
@@ -566,8 +617,10 @@
 		m.submitNew()
 	case op < 22:
 		m.known(m.intn(4, "of known"))
-	case op < 45:
+	case op < 42:
 		m.act(a)
+	case op < 45:
+		m.bounce(a)
 	case op < 60:
 		m.endAny(a, structs.TaskFinished)
 	case op < 61:
@@ -588,7 +641,11 @@
 	case op < 91:
 		m.link(a)
 	case op < 92:
-		m.join()
+		if len(m.agents) < 3 && m.chance(80, "few agents") {
+			a.refusing = !a.refusing
+		} else {
+			m.join()
+		}
 	case op < 93:
 		a.refusing = !a.refusing
 	case op < 94:
@@ -615,9 +672,7 @@
 				a.update.Leaving = false
 				m.step(a.update)
 			}
-			for len(a.inbox) > 0 {
-				m.act(a)
-			}
+			m.actAll(a)
 			m.endAny(a, structs.TaskFinished)
 			for len(a.outbox) > 0 {
 				m.deliver(a, false)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -67,9 +67,10 @@
 	// refusals are the submissions that were refused as not run a short time ago.
 	refusals refusals
 	held     []Input
-	parked   []*job
 
-	sequence      uint64
+	sequence uint64
+	// attempts numbers the starts of the epoch.
+	attempts      uint64
 	tickets       uint64
 	waiting       [structs.Priorities]int
 	running       int
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -73,6 +73,13 @@
 	return structs.TaskEvent{Task: task, Kind: kind, Result: []byte(result), RunTime: 100 * time.Millisecond}
 }
 
+// answer returns an event that echoes the attempt of a start.
+func answer(start structs.TaskStart, kind structs.TaskEventKind) structs.TaskEvent {
+	e := event(start.Task, kind, "")
+	e.Attempt = start.Attempt
+	return e
+}
+
 // TestAnswerHasResultsInTaskOrder guards against answers whose results are in order of arrival.
 func TestAnswerHasResultsInTaskOrder(t *testing.T) {
 	p := newTestPool(3)
@@ -109,30 +116,29 @@
 	return Events{Agent: agent.Agent, Events: []structs.TaskEvent{e}}
 }
 
-// TestDuplicateRefusalIsNoProof guards against a third start after a refusal that arrives twice: the agent that
-// refused a task does not get it again.
+// TestDuplicateRefusalIsNoProof guards against a third start after a refusal that arrives twice, and against a task
+// that waits for another agent after the only one has refused it once.
 func TestDuplicateRefusalIsNoProof(t *testing.T) {
 	p := newTestPool(1)
-	task := only[SendStart](t, p.Step(0, Submit{Submission: submission("a", 1)})).Start.Tasks[0].Task
-	refusal := one(testAgent(0), event(task, structs.TaskRefused, ""))
+	first := only[SendStart](t, p.Step(0, Submit{Submission: submission("a", 1)})).Start.Tasks[0]
+	refusal := one(testAgent(0), answer(first, structs.TaskRefused))
 	require.Empty(t, p.Step(0, refusal))
-	require.Empty(t, p.Step(time.Second, Tick{}))
-	require.Empty(t, p.Step(2*time.Second, refusal))
-	status, _ := p.Status(submission("a", 1).Job, 2*time.Second)
-	require.Contains(t, status.Reason, "refused")
-	require.Equal(t, testAgent(1).Agent, only[SendStart](t, p.Step(3*time.Second, testAgent(1))).Agent)
+	second := only[SendStart](t, p.Step(50*time.Millisecond, Tick{})).Start.Tasks[0]
+	require.Equal(t, first.Task, second.Task)
+	require.NotEqual(t, first.Attempt, second.Attempt)
+	require.Empty(t, p.Step(time.Second, refusal))
+	require.Empty(t, starts(p.Step(3*time.Second, testAgent(1))), "a late refusal passed for one of the second start")
 	require.EqualValues(t, 1, p.Stats().LateEvents)
+	require.Len(t, starts(p.Step(3*time.Second, one(testAgent(0), answer(second, structs.TaskRefused)))), 1)
 }
 
 // TestUnsentStartIsRepeated guards against a task that can never run because the only agent's link was down for a
 // moment.
 func TestUnsentStartIsRepeated(t *testing.T) {
 	p := newTestPool(1)
-	task := only[SendStart](t, p.Step(0, Submit{Submission: submission("a", 1)})).Start.Tasks[0].Task
-	unsent := one(testAgent(0), event(task, structs.TaskRefused, ""))
-	unsent.Unsent = true
-	require.Empty(t, p.Step(0, unsent))
-	require.Equal(t, task, only[SendStart](t, p.Step(time.Second, Tick{})).Start.Tasks[0].Task)
+	start := only[SendStart](t, p.Step(0, Submit{Submission: submission("a", 1)})).Start.Tasks[0]
+	require.Empty(t, p.Step(0, one(testAgent(0), answer(start, structs.TaskRefused))))
+	require.Equal(t, start.Task, only[SendStart](t, p.Step(time.Second, Tick{})).Start.Tasks[0].Task)
 }
 
 // TestCancelSendsOneMessagePerAgent guards against tasks that run on after the cancel and against slots that stay
@@ -186,11 +192,11 @@
 	actions := p.Step(0, Configure{Config: &structs.Configuration{Revision: 1, Zones: out}})
 	require.Len(t, only[SendWithdraw](t, actions).Withdraw.Tasks, 9)
 	require.Equal(t, "zone out", p.Agents()[0].State)
-	queued := sent[testAgent(0).Agent][8].Task
-	p.Step(0, one(testAgent(0), event(queued, structs.TaskWithdrawn, "")))
+	queued := sent[testAgent(0).Agent][8]
+	p.Step(0, one(testAgent(0), answer(queued, structs.TaskWithdrawn)))
 	ended := sent[testAgent(1).Agent][0].Task
 	moved := only[SendStart](t, p.Step(time.Second, one(testAgent(1), event(ended, structs.TaskFinished, ""))))
-	require.Equal(t, queued, moved.Start.Tasks[0].Task)
+	require.Equal(t, queued.Task, moved.Start.Tasks[0].Task)
 	require.Equal(t, testAgent(1).Agent, moved.Agent)
 	p.Step(time.Second, Configure{Config: &structs.Configuration{Revision: 2}})
 	p.Step(time.Second, Submit{Submission: submission("b", 100)})
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -30,7 +30,7 @@
 	return p.startClass(structs.Urgent) || p.startClass(structs.Routine)
 }
 
-// startClass starts or parks the next task of a class. It returns false if there is none or no server for it.
+// startClass starts the next task of a class. It returns false if there is none or no server for it.
 func (p *Pool) startClass(class structs.Priority) bool {
 	entry := p.queue.Peek(class)
 	if entry == nil {
@@ -41,17 +41,11 @@
 		p.endJob(j, structs.CodeDeadline, p.outcomeNow(j), "the job cannot end before its deadline")
 		return true
 	}
-	if len(j.returned) > 0 && p.startReturned(j) {
-		return true
-	}
-	if j.waiting == len(j.returned) {
-		return p.park(j)
-	}
-	a := p.choose(j, nil)
+	a := p.choose(j)
 	if a == nil {
 		return false
 	}
-	p.start(j, j.nextFresh(), a)
+	p.start(j, j.takeWaiting(), a)
 	return true
 }
 
@@ -66,50 +60,14 @@
 	return p.now+time.Duration(own) > j.due
 }
 
-// startReturned starts a task that a server has returned, at another one.
-func (p *Pool) startReturned(j *job) bool {
-	index := j.returned[0]
-	j.returned = j.returned[1:]
-	a := p.choose(j, p.servers(j.excluded[index]))
-	if a == nil {
-		j.returned = append(j.returned, index)
-		return false
-	}
-	p.start(j, index, a)
-	return true
-}
-
-// servers returns the servers of the agents that are still known.
-func (p *Pool) servers(refs []structs.AgentRef) []*placement.Server {
-	list := make([]*placement.Server, 0, len(refs))
-	for _, ref := range refs {
-		if a, ok := p.agents[ref]; ok {
-			list = append(list, a.server)
-		}
-	}
-	return list
-}
-
-// park takes a job out of the queue for a moment if each server that could take its tasks has returned them before.
-func (p *Pool) park(j *job) bool {
-	if p.choose(j, nil) == nil {
-		return false
-	}
-	j.parked = true
-	p.parked = append(p.parked, j)
-	p.queue.Hold(j.entry)
-	return true
-}
-
-func (p *Pool) unpark() {
-	for _, j := range p.parked {
-		j.parked = false
-		if j.state == jobLive && !j.awaiting {
-			p.queue.Release(j.entry)
-		}
-	}
-	clear(p.parked)
-	p.parked = p.parked[:0]
+// takeWaiting returns the next task to start: one that a server has returned, else one that has never been sent.
+func (j *job) takeWaiting() uint32 {
+	if len(j.returned) > 0 {
+		index := j.returned[0]
+		j.returned = j.returned[1:]
+		return index
+	}
+	return j.nextFresh()
 }
 
 // nextFresh returns the next task that has never been sent.
@@ -121,15 +79,15 @@
 }
 
 // choose returns the agent for a task of the job, or nil.
-func (p *Pool) choose(j *job, excluded []*placement.Server) *agent {
+func (p *Pool) choose(j *job) *agent {
 	var s *placement.Server
 	switch p.options.Policy {
 	case PolicyRandom:
-		s = p.index.Random(excluded)
+		s = p.index.Random(nil)
 	case PolicyFIFO:
-		s = p.index.Next(excluded)
+		s = p.index.Next(nil)
 	default:
-		s = p.chooseFastest(j, excluded)
+		s = p.chooseFastest(j)
 	}
 	if s == nil {
 		return nil
@@ -139,11 +97,11 @@
 
 // chooseFastest applies the default policy. Routine tasks leave the fast servers to urgent work as long as others are
 // free.
-func (p *Pool) chooseFastest(j *job, excluded []*placement.Server) *placement.Server {
+func (p *Pool) chooseFastest(j *job) *placement.Server {
 	if j.sub.Priority == structs.Urgent {
-		return p.chooseUrgent(j, excluded)
+		return p.chooseUrgent(j)
 	}
-	if s := p.index.Fastest(j.kind, placement.RestSlot, excluded); s != nil {
+	if s := p.index.Fastest(j.kind, placement.RestSlot, nil); s != nil {
 		return s
 	}
 	mean := j.kind.Mean()
@@ -151,21 +109,21 @@
 	if mean <= placement.ShortRoutine || p.queue.RoutineDue() {
 		need = placement.AnySlot
 	}
-	if s := p.index.Slowest(j.kind, need, excluded); s != nil {
+	if s := p.index.Slowest(j.kind, need, nil); s != nil {
 		return s
 	}
 	if mean > prefetchMean || p.queue.Peek(structs.Urgent) != nil {
 		return nil
 	}
-	return p.index.Fastest(j.kind, placement.QueuePlace, excluded)
+	return p.index.Fastest(j.kind, placement.QueuePlace, nil)
 }
 
 // chooseUrgent returns the fastest free server, or nil if the job's last waiting task is expected to end earlier by
 // waiting for a faster one. A job waits at most for half the time that the slower server would take.
-func (p *Pool) chooseUrgent(j *job, excluded []*placement.Server) *placement.Server {
-	s := p.index.Fastest(j.kind, placement.AnySlot, excluded)
+func (p *Pool) chooseUrgent(j *job) *placement.Server {
+	s := p.index.Fastest(j.kind, placement.AnySlot, nil)
 	if s == nil {
-		return p.index.Fastest(j.kind, placement.OvertakePlace, excluded)
+		return p.index.Fastest(j.kind, placement.OvertakePlace, nil)
 	}
 	wait, expected := p.index.BetterWait(j.kind, s, p.waiting[structs.Urgent])
 	if !wait {
@@ -193,6 +151,8 @@
 	if j.sub.Priority == structs.Urgent {
 		p.urgentShare.add(cost)
 	}
+	p.attempts++
+	t.epoch, t.attempt = p.options.Epoch, p.attempts
 	p.attach(j, index, a, taskSent)
 	p.index.Reserve(a.server)
 	p.stats.Started++
@@ -206,6 +166,7 @@
 		Kind:     j.sub.Kind,
 		Timeout:  min(p.service.TaskTimeout, j.due-p.now),
 		Payload:  j.sub.Payloads[index],
+		Attempt:  t.attempt,
 	})
 }
 
@@ -234,7 +195,7 @@
 		a.tasks[last] = agentTask{}
 		a.tasks = a.tasks[:last]
 	}
-	t.agent, t.adopted = nil, false
+	t.agent = nil
 	if t.state == taskRecorded {
 		j.recorded--
 		return
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -273,9 +273,7 @@
 		return
 	}
 	j.awaiting = false
-	if !j.parked {
-		p.queue.Release(j.entry)
-	}
+	p.queue.Release(j.entry)
 }
 
 func (p *Pool) addWaiter(j *job, waiter WaiterID) {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -586,9 +586,10 @@
 	for i := range a.Start.Tasks {
 		events[i] = structs.TaskEvent{
 			Task: a.Start.Tasks[i].Task, Kind: structs.TaskRefused, Error: "the link to the agent is down",
+			Attempt: a.Start.Tasks[i].Attempt,
 		}
 	}
-	r.follow = append(r.follow, dispatch.Events{Agent: a.Agent, Unsent: true, Events: events})
+	r.follow = append(r.follow, dispatch.Events{Agent: a.Agent, Events: events})
 }
 
 // tell sends a message to an agent and reports whether the link accepted it. If not, the agent gets no starts until
