Add the message Recall

Purpose: after a relink the owner asks an agent which starts were lost with the old link, and forbids their late arrival. The message type is added at the end of the list.

--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -35,6 +35,8 @@
 	TypeForwardReply
 	TypeHandoff
 	TypeHandoffReply
+	// TypeRecall goes from gateway to agent.
+	TypeRecall
 )
 
 // Envelope is one message inside a WebSocket message, which holds a CBOR array of envelopes.
@@ -164,6 +166,24 @@
 	Tasks []TaskRef
 }
 
+// Recall asks an agent after a new link which starts have been lost. From then on the agent refuses each start of the
+// epoch with an attempt below Floor that it has not taken, and it reports each listed start as refused whose task
+// neither has a record nor waits. The others get no answer.
+type Recall struct {
+	_     struct{} `cbor:",toarray"`
+	Epoch Epoch
+	Floor uint64
+	Tasks []StartRef
+}
+
+// StartRef names one start of a task.
+type StartRef struct {
+	_       struct{} `cbor:",toarray"`
+	Task    TaskRef
+	Epoch   Epoch
+	Attempt uint64
+}
+
 // Cancel drops the queued tasks of a job and aborts the running ones.
 type Cancel struct {
 	_     struct{} `cbor:",toarray"`
