Recall starts that were lost with a link

Cause: a start, or the refusal of one, that is lost on a link that breaks while the agent comes back stayed awaited at the owner until the job's deadline, and the job ended as may_have_run. Change: after a relink the owner sends Recall with the starts that it believes at the agent and a floor above all attempts so far. The agent refuses from then on each start of the epoch below the floor that it has not taken, and reports each listed start as refused whose task neither has a record nor waits. The refusal takes the usual path. Invariant: a refusal that answers a recall is true for good, whichever link carries the start, the recall or the answer, and however late: the floor never falls within an epoch, starts after the recall have attempts at or above it, and a higher epoch refuses all of them. A copy of an old answer names an old attempt and is ignored. A recall of a lower epoch changes nothing. Ruled out: a second fence with starts bound to its link. It needs all records in the reply, a pause of starts between fence and reply and an account of links at the agent; crossed links then decide which fence is the latest. The model of the pool has 1 to 3 agents at first, breaks links with starts and refusals under way, delivers messages of old links later, and checks before time passes that no start is awaited that the agent does not know.

--- a/internal/agent/api.go
+++ b/internal/agent/api.go
@@ -86,7 +86,7 @@
 type LinkDown struct{ Link LinkID }
 
 // Received passes a message of a gateway in. Message is a pointer to GatewayHello, GatewayHeartbeat, Start, Withdraw,
-// Cancel, Fence, FetchResults, ConfigRequest or ConfigDocument of package structs.
+// Cancel, Recall, Fence, FetchResults, ConfigRequest or ConfigDocument of package structs.
 type Received struct {
 	Link    LinkID
 	Message any
--- a/internal/agent/machine.go
+++ b/internal/agent/machine.go
@@ -64,6 +64,9 @@
 
 	// promised is the highest promised epoch; starts need exactly this epoch.
 	promised structs.Epoch
+	// floor is the lowest attempt of the promised epoch that is accepted. It never falls within an epoch, so that a
+	// start that was reported as lost cannot be taken when it arrives late over an old link.
+	floor uint64
 	// pool is the pool of the first fence. Promises are about this pool only.
 	pool structs.PoolID
 	// detached holds the epochs whose owner announced itself as detached and has not revoked it, with the time of
@@ -184,6 +187,8 @@
 		m.withdraw(l, message)
 	case *structs.Cancel:
 		m.cancel(l, message)
+	case *structs.Recall:
+		m.recall(l, message)
 	case *structs.GatewayHello:
 		m.freshAt = max(m.freshAt, l.dialedAt)
 		l.revision = message.Revision
--- a/internal/agent/machine_test.go
+++ b/internal/agent/machine_test.go
@@ -65,11 +65,17 @@
 	// task that was handed out last.
 	attempt   uint64
 	unrefused map[uint64]structs.TaskRef
-	run       map[structs.TaskRef]uint64
-	ran       map[structs.TaskRef]bool
-	ended     map[structs.TaskRef]structs.TaskEventKind
-	aborted   map[structs.TaskRef]bool
-	stopped   int
+	// held are starts under way on a slow link, lost those that a recall has reported as never arriving.
+	held  []heldStart
+	lost  map[uint64]bool
+	floor uint64
+	// reported counts the answers to a recall.
+	reported int
+	run      map[structs.TaskRef]uint64
+	ran      map[structs.TaskRef]bool
+	ended    map[structs.TaskRef]structs.TaskEventKind
+	aborted  map[structs.TaskRef]bool
+	stopped  int
 }
 
 func newModel(t *rapid.T) *model {
@@ -77,7 +83,7 @@
 		t: t, m: New(0, Options{Self: testSelf, Zone: testZone}), nextLink: 1, fresh: never, alive: never,
 		beats: map[LinkID][]time.Duration{}, open: map[structs.TaskRef]bool{}, epochs: map[uint64]structs.Epoch{},
 		ran: map[structs.TaskRef]bool{}, ended: map[structs.TaskRef]structs.TaskEventKind{},
-		aborted: map[structs.TaskRef]bool{}, unrefused: map[uint64]structs.TaskRef{}, run: map[structs.TaskRef]uint64{},
+		aborted: map[structs.TaskRef]bool{}, unrefused: map[uint64]structs.TaskRef{}, lost: map[uint64]bool{}, run: map[structs.TaskRef]uint64{},
 	}
 	s.announce()
 	s.linkUp()
@@ -93,6 +99,7 @@
 			s.checkRun(action.Task.Task, action.Task.Priority)
 			require.Equal(s.t, action.Task.Task, s.unrefused[action.Task.Attempt], "a refused start ran")
 			require.Equal(s.t, s.promised, s.epochs[action.Task.Attempt], "a task started under an epoch that is not promised")
+			require.False(s.t, s.lost[action.Task.Attempt], "a start ran that was reported as lost")
 			s.run[action.Task.Task] = action.Task.Attempt
 		case Send:
 			s.checkSend(action)
@@ -139,6 +146,10 @@
 }
 
 func (s *model) checkEvent(event structs.TaskEvent) {
+	if event.Error == lostStart {
+		s.checkLost(event)
+		return
+	}
 	_, open := s.open[event.Task]
 	switch event.Kind {
 	case structs.TaskNotWithdrawn:
@@ -155,6 +166,59 @@
 	delete(s.open, event.Task)
 }
 
+// heldStart is a start that has not arrived.
+type heldStart struct {
+	attempt  uint64
+	epoch    structs.Epoch
+	task     structs.TaskRef
+	priority structs.Priority
+}
+
+func (s *model) checkLost(event structs.TaskEvent) {
+	require.Equal(s.t, event.Task, s.unrefused[event.Attempt])
+	require.True(s.t, event.Attempt < s.floor || s.epochs[event.Attempt] < s.promised, "a start that may still run was reported as lost")
+	require.False(s.t, s.ran[event.Task], "a running task was reported as lost")
+	require.NotContains(s.t, s.ended, event.Task, "an ended task was reported as lost")
+	require.Negative(s.t, s.m.queueIndex(keyOf(event.Task)), "a waiting task was reported as lost")
+	s.lost[event.Attempt] = true
+	s.reported++
+}
+
+// recall asks for all starts that have not arrived, over any link, and may be an old one.
+func (s *model) recall(id LinkID, floor uint64) {
+	recall := &structs.Recall{Epoch: s.promised, Floor: floor}
+	s.floor = max(s.floor, floor)
+	expected := 0
+	for _, h := range s.held {
+		recall.Tasks = append(recall.Tasks, structs.StartRef{Task: h.task, Epoch: h.epoch, Attempt: h.attempt})
+		_, ended := s.ended[h.task]
+		known := s.ran[h.task] || ended || s.m.queueIndex(keyOf(h.task)) >= 0
+		if !known && (h.attempt < s.floor || h.epoch < s.promised) {
+			expected++
+		}
+	}
+	s.reported = 0
+	s.do(Received{Link: id, Message: recall})
+	require.Equal(s.t, expected, s.reported, "a lost start was not reported")
+}
+
+func (s *model) hold(epoch structs.Epoch, task structs.TaskRef, priority structs.Priority) {
+	s.attempt++
+	s.unrefused[s.attempt], s.epochs[s.attempt] = task, epoch
+	s.held = append(s.held, heldStart{attempt: s.attempt, epoch: epoch, task: task, priority: priority})
+}
+
+// arrive lets a held start arrive, also after its recall and under a later epoch.
+func (s *model) arrive(id LinkID) {
+	if len(s.held) == 0 {
+		return
+	}
+	at := rapid.IntRange(0, len(s.held)-1).Draw(s.t, "held")
+	h := s.held[at]
+	s.held = append(append([]heldStart(nil), s.held[:at]...), s.held[at+1:]...)
+	s.deliverStart(id, h)
+}
+
 func (s *model) announce() {
 	s.alive = s.now
 	s.do(Announced{Server: "oven", Service: testService, Slots: testSlots, Connections: 64})
@@ -186,6 +250,9 @@
 }
 
 func (s *model) fence(epoch structs.Epoch) {
+	if epoch > s.promised {
+		s.floor = 0
+	}
 	if epoch >= s.promised {
 		s.promised = epoch
 		for task := range s.open {
@@ -199,16 +266,20 @@
 }
 
 func (s *model) start(id LinkID, epoch structs.Epoch, task structs.TaskRef, priority structs.Priority) {
-	s.attempt++
-	s.unrefused[s.attempt] = task
-	s.epochs[s.attempt] = epoch
-	if _, open := s.open[task]; !open {
-		if _, ended := s.ended[task]; !ended {
-			s.open[task] = true
+	s.hold(epoch, task, priority)
+	h := s.held[len(s.held)-1]
+	s.held = s.held[:len(s.held)-1]
+	s.deliverStart(id, h)
+}
+
+func (s *model) deliverStart(id LinkID, h heldStart) {
+	if _, open := s.open[h.task]; !open {
+		if _, ended := s.ended[h.task]; !ended {
+			s.open[h.task] = true
 		}
 	}
-	start := &structs.Start{Epoch: epoch, Tasks: []structs.TaskStart{{Task: task, Priority: priority, Attempt: s.attempt}}}
-	s.do(Received{Link: id, Message: start})
+	start := structs.TaskStart{Task: h.task, Priority: h.priority, Attempt: h.attempt}
+	s.do(Received{Link: id, Message: &structs.Start{Epoch: h.epoch, Tasks: []structs.TaskStart{start}}})
 }
 
 func (s *model) end(task structs.TaskRef, kind structs.TaskEventKind) {
@@ -250,7 +321,7 @@
 	id := s.links[at]
 	epoch := max(1, s.promised+structs.Epoch(rapid.IntRange(0, 2).Draw(s.t, "epoch"))) - 1
 	task := s.randomTask()
-	switch rapid.IntRange(0, 16).Draw(s.t, "input") {
+	switch rapid.IntRange(0, 20).Draw(s.t, "input") {
 	case 0, 1, 2, 3:
 		s.start(id, s.promised, task, structs.Priority(rapid.IntRange(0, 1).Draw(s.t, "priority")))
 	case 4:
@@ -278,6 +349,12 @@
 		s.do(Received{Link: id, Message: testDocument(s.t, s.revision-1, false, false)})
 	case 15:
 		s.linkDown(at)
+	case 16:
+		s.hold(s.promised, task, structs.Priority(rapid.IntRange(0, 1).Draw(s.t, "priority")))
+	case 17, 18:
+		s.arrive(id)
+	case 19:
+		s.recall(id, s.attempt+1-min(s.attempt, uint64(rapid.IntRange(0, 3).Draw(s.t, "old"))))
 	default:
 		s.do(Tick{})
 	}
--- a/internal/agent/owners.go
+++ b/internal/agent/owners.go
@@ -67,8 +67,7 @@
 	l.behind = behind
 }
 
-// fence promises an epoch and reports the records. Waiting tasks are dropped, also if the epoch was promised before:
-// an owner that fences again has lost a link and needs to know what its lost messages have not started.
+// fence promises an epoch and reports the records. Waiting tasks are dropped, also if the epoch was promised before.
 func (m *Machine) fence(l *gatewayLink, message *structs.Fence) {
 	reply := &structs.FenceReply{Pool: message.Pool, Epoch: message.Epoch}
 	if message.Epoch < m.promised || !m.isOwnPool(message.Pool) {
@@ -78,7 +77,10 @@
 		return
 	}
 	m.pool = message.Pool
-	m.promised = message.Epoch
+	if message.Epoch > m.promised {
+		m.promised = message.Epoch
+		m.floor = 0
+	}
 	m.queue = nil
 	m.undelivered = nil
 	for epoch := range m.detached {
--- a/internal/agent/starts.go
+++ b/internal/agent/starts.go
@@ -8,6 +8,9 @@
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
+// lostStart is the error of a start that a recall has found missing.
+const lostStart = "the start was lost with a link"
+
 // queued is a task that waits for a slot.
 type queued struct {
 	task      structs.TaskStart
@@ -67,6 +70,9 @@
 	if entry.epoch != m.promised || entry.epoch == 0 {
 		return "the epoch is not the promised one"
 	}
+	if entry.task.Attempt < m.floor {
+		return "the start was recalled"
+	}
 	if _, ok := m.cancelled[entry.task.Task.Job.Key]; ok {
 		return "the job is cancelled"
 	}
@@ -183,6 +189,26 @@
 	m.sendEvents(l.id, link.Urgent, message.Epoch, events)
 }
 
+// recall refuses for good what was sent before the present link and has not arrived. A recall of another epoch is not
+// the present owner's and changes nothing.
+func (m *Machine) recall(l *gatewayLink, message *structs.Recall) {
+	if message.Epoch != m.promised {
+		return
+	}
+	m.floor = max(m.floor, message.Floor)
+	for _, start := range message.Tasks {
+		key := keyOf(start.Task)
+		// A start of the promised epoch that is not below the floor may still arrive.
+		open := start.Epoch >= message.Epoch && start.Attempt >= m.floor
+		if open || m.records.find(key) != nil || m.queueIndex(key) >= 0 {
+			continue
+		}
+		m.sendEvents(l.id, link.Urgent, start.Epoch, []structs.TaskEvent{{
+			Task: start.Task, Kind: structs.TaskRefused, Error: lostStart, Attempt: start.Attempt,
+		}})
+	}
+}
+
 // cancel drops the waiting tasks of a job and aborts the running ones.
 func (m *Machine) cancel(l *gatewayLink, message *structs.Cancel) {
 	if message.Epoch < m.promised {
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -58,6 +58,9 @@
 	if first || in.Relinked {
 		p.fetchAgent(a, in.Relinked)
 	}
+	if in.Relinked {
+		p.recall(a)
+	}
 }
 
 // refreshAgent applies an agent's properties to the placement index.
@@ -120,6 +123,27 @@
 	delete(p.lostJobs, a.ref)
 }
 
+// recall asks an agent with a new link which of the starts sent before have been lost, or their refusals.
+//
+// Invariant: an agent that has seen the recall takes no start with an attempt below the floor, and each start that follows
+// has one at or above it. A refusal that answers the recall is therefore true for good, whichever link carries the start,
+// the recall or the answer, and however late.
+func (p *Pool) recall(a *agent) {
+	starts := make([]structs.StartRef, 0, len(a.tasks))
+	for _, at := range a.tasks {
+		t := &at.job.tasks[at.index]
+		if t.state == taskSent {
+			task := structs.TaskRef{Job: at.job.id, Index: at.index}
+			starts = append(starts, structs.StartRef{Task: task, Epoch: t.epoch, Attempt: t.attempt})
+		}
+	}
+	if len(starts) > 0 {
+		p.emit(SendRecall{Agent: a.ref, Recall: structs.Recall{
+			Epoch: p.options.Epoch, Floor: p.attempts + 1, Tasks: starts,
+		}})
+	}
+}
+
 // withdrawQueued asks for the tasks that an agent may hold in its queue. Only the agent knows which of the tasks in
 // flight run, so it is asked for all of them if there are more than slots.
 func (p *Pool) withdrawQueued(a *agent) {
--- a/internal/dispatch/api.go
+++ b/internal/dispatch/api.go
@@ -48,7 +48,7 @@
 	Leaving     bool
 	Eligible    bool
 	// Relinked is true if the link was established anew, so that messages under way may have been lost. The pool
-	// then asks the agent for the results of all tasks in flight.
+	// then asks the agent for the results of all tasks in flight and recalls starts that were lost.
 	Relinked bool
 }
 
@@ -163,6 +163,12 @@
 	Cancel structs.Cancel
 }
 
+// SendRecall asks an agent with a new link for the starts that were lost. It goes to the new link, before later starts.
+type SendRecall struct {
+	Agent  structs.AgentRef
+	Recall structs.Recall
+}
+
 // SendFetch asks an agent for the results of an adopted job.
 type SendFetch struct {
 	Agent structs.AgentRef
@@ -194,6 +200,7 @@
 func (SendStart) action()    {}
 func (SendWithdraw) action() {}
 func (SendCancel) action()   {}
+func (SendRecall) action()   {}
 func (SendFetch) action()    {}
 func (Journal) action()      {}
 func (Finish) action()       {}
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -21,7 +21,10 @@
 	refusing bool
 	promised structs.Epoch
 	inbox    []Action
-	outbox   []Events
+	// floor is the lowest attempt that the agent accepts, late holds messages of broken links that may still arrive.
+	floor  uint64
+	late   []Action
+	outbox []Events
 	// delivered holds the refusals and withdrawals that the owner has seen. Copies of them arrive later.
 	delivered []Events
 	records   []*fakeRecord
@@ -114,6 +117,9 @@
 		case SendCancel:
 			f := m.agent(a.Agent)
 			f.inbox = append(f.inbox, a)
+		case SendRecall:
+			f := m.agent(a.Agent)
+			f.inbox = append(f.inbox, a)
 		case SendFetch:
 			f := m.agent(a.Agent)
 			f.inbox = append(f.inbox, a)
@@ -249,6 +255,11 @@
 	}
 	message := a.inbox[0]
 	a.inbox = a.inbox[1:]
+	m.receive(a, message)
+}
+
+// receive lets an agent handle a message.
+func (m *model) receive(a *fakeAgent, message Action) {
 	switch message := message.(type) {
 	case SendStart:
 		for _, task := range message.Start.Tasks {
@@ -265,6 +276,8 @@
 			})
 			a.report(message.Withdraw.Epoch, reply)
 		}
+	case SendRecall:
+		m.recall(a, message.Recall)
 	case SendCancel:
 		job := message.Cancel.Job
 		a.dropped[job] = true
@@ -287,9 +300,75 @@
 	}
 }
 
+func (m *model) recall(a *fakeAgent, recall structs.Recall) {
+	if recall.Epoch != a.promised {
+		return
+	}
+	a.floor = max(a.floor, recall.Floor)
+	for _, s := range recall.Tasks {
+		if !a.knows(s.Task) {
+			a.report(s.Epoch, answer(structs.TaskStart{Task: s.Task, Attempt: s.Attempt}, structs.TaskRefused))
+		}
+	}
+}
+
+// knows reports whether a task has a record or waits.
+func (a *fakeAgent) knows(task structs.TaskRef) bool {
+	return slices.ContainsFunc(a.records, func(r *fakeRecord) bool { return r.task == task }) ||
+		slices.ContainsFunc(a.queue, func(s structs.TaskStart) bool { return s.Task == task })
+}
+
+// awaits reports whether a start or the refusal of a task is under way or the agent knows the task.
+func (a *fakeAgent) awaits(task structs.TaskRef) bool {
+	isStarted := func(message Action) bool {
+		s, ok := message.(SendStart)
+		return ok && slices.ContainsFunc(s.Start.Tasks, func(t structs.TaskStart) bool { return t.Task == task })
+	}
+	return a.knows(task) || slices.ContainsFunc(a.inbox, isStarted) ||
+		slices.ContainsFunc(a.outbox, func(e Events) bool { return e.Events[0].Task == task })
+}
+
+// relink breaks the link of an agent and brings a new one up. Starts and refusals under way are lost or arrive late.
+func (m *model) relink(a *fakeAgent) {
+	if !a.linked {
+		return
+	}
+	for _, message := range a.inbox {
+		if m.chance(60, "arrives late") {
+			a.late = append(a.late, message)
+		}
+	}
+	a.inbox = nil
+	kept := a.outbox
+	a.outbox = nil
+	for _, e := range kept {
+		kind := e.Events[0].Kind
+		isProof := kind == structs.TaskRefused || kind == structs.TaskWithdrawn
+		// The agent reports ends again; refusals are sent once.
+		if !isProof || m.chance(50, "refusal survives") {
+			a.outbox = append(a.outbox, e)
+		}
+	}
+	up := a.update
+	up.Relinked = true
+	m.step(up)
+}
+
+// arriveLate passes a message of a broken link to its agent.
+func (m *model) arriveLate(a *fakeAgent) {
+	if len(a.late) == 0 {
+		return
+	}
+	i := m.intn(len(a.late), "late")
+	message := a.late[i]
+	a.late = slices.Delete(a.late, i, i+1)
+	m.receive(a, message)
+}
+
 func (m *model) arrive(a *fakeAgent, task structs.TaskStart, epoch structs.Epoch) {
 	switch {
-	case epoch != a.promised || a.refusing || a.dropped[task.Task.Job]:
+	case epoch == a.promised && a.knows(task.Task):
+	case epoch != a.promised || task.Attempt < a.floor || a.refusing || a.dropped[task.Task.Job]:
 		a.report(epoch, answer(task, structs.TaskRefused))
 	case a.running() < a.update.Slots:
 		m.launch(a, task, epoch)
@@ -439,7 +518,7 @@
 // link fences an agent and reports it as eligible.
 func (m *model) link(a *fakeAgent) {
 	if a.promised != m.epoch {
-		a.promised, a.queue = m.epoch, nil
+		a.promised, a.queue, a.floor = m.epoch, nil, 0
 	}
 	a.linked = true
 	m.step(a.update)
@@ -510,7 +589,7 @@
 			a.linked, m.complete = false, false
 			continue
 		}
-		a.promised, a.queue = m.epoch, nil
+		a.promised, a.queue, a.floor = m.epoch, nil, 0
 		adopt.Records = append(adopt.Records, a.answer())
 		joined = append(joined, a)
 	}
@@ -615,7 +694,12 @@
 	switch op := m.intn(100, "operation"); {
 	case op < 15:
 		m.submitNew()
-	case op < 22:
+	case op < 19:
+		m.relink(a)
+		m.arriveLate(a)
+	case op < 20:
+		m.arriveLate(a)
+	case op < 24:
 		m.known(m.intn(4, "of known"))
 	case op < 42:
 		m.act(a)
@@ -638,8 +722,10 @@
 		m.step(Tick{})
 	case op < 89:
 		m.lose(a)
-	case op < 91:
+	case op < 90:
 		m.link(a)
+	case op < 91:
+		m.relink(a)
 	case op < 92:
 		if len(m.agents) < 3 && m.chance(80, "few agents") {
 			a.refusing = !a.refusing
@@ -678,6 +764,7 @@
 				m.deliver(a, false)
 			}
 		}
+		m.checkNothingLost()
 		m.now += 700 * time.Millisecond
 		m.step(Tick{})
 	}
@@ -687,6 +774,17 @@
 	require.Zero(m, m.pool.Stats().Running)
 }
 
+// checkNothingLost checks that no task counts as sent to an agent that does not know it. The owner waits for such a task
+// until the deadline.
+func (m *model) checkNothingLost() {
+	for _, a := range m.pool.roster {
+		for _, at := range a.tasks {
+			task := structs.TaskRef{Job: at.job.id, Index: at.index}
+			require.True(m, m.agent(a.ref).awaits(task), "a start was lost and is still awaited")
+		}
+	}
+}
+
 // TestPoolKeepsItsPromises guards against second starts, partial and crossed answers and false not_run over random
 // sequences of submissions, events, losses, configuration changes, mode changes and takeovers.
 func TestPoolKeepsItsPromises(t *testing.T) {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -531,6 +531,8 @@
 			r.tell(a.Agent, link.Urgent, structs.TypeWithdraw, &a.Withdraw)
 		case dispatch.SendCancel:
 			r.tell(a.Agent, link.Urgent, structs.TypeCancel, &a.Cancel)
+		case dispatch.SendRecall:
+			r.tell(a.Agent, link.Urgent, structs.TypeRecall, &a.Recall)
 		case dispatch.SendFetch:
 			r.tell(a.Agent, link.Urgent, structs.TypeFetchResults, &a.Fetch)
 		case dispatch.Journal:
--- a/internal/link/fuzz_test.go
+++ b/internal/link/fuzz_test.go
@@ -24,6 +24,7 @@
 	structs.TypeWithdraw:         func() any { return &structs.Withdraw{} },
 	structs.TypeCancel:           func() any { return &structs.Cancel{} },
 	structs.TypeFence:            func() any { return &structs.Fence{} },
+	structs.TypeRecall:           func() any { return &structs.Recall{} },
 	structs.TypeFetchResults:     func() any { return &structs.FetchResults{} },
 	structs.TypeConfigRequest:    func() any { return &structs.ConfigRequest{} },
 	structs.TypeConfigDocument:   func() any { return &structs.ConfigDocument{} },
