--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -689,16 +689,30 @@
 	}
 }
 
+// disturbLink breaks and renews a link, and lets a message of an old link arrive.
+func (m *model) disturbLink(a *fakeAgent, relink bool) {
+	if relink {
+		m.relink(a)
+	}
+	m.arriveLate(a)
+}
+
+// joinOrRefuse adds an agent, seldom if there are few, so that refused tasks meet the same agent again.
+func (m *model) joinOrRefuse(a *fakeAgent) {
+	if len(m.agents) < 3 && m.chance(80, "few agents") {
+		a.refusing = !a.refusing
+	} else {
+		m.join()
+	}
+}
+
 func (m *model) operate() {
 	a := m.agents[m.intn(len(m.agents), "agent")]
 	switch op := m.intn(100, "operation"); {
 	case op < 15:
 		m.submitNew()
-	case op < 19:
-		m.relink(a)
-		m.arriveLate(a)
 	case op < 20:
-		m.arriveLate(a)
+		m.disturbLink(a, op < 19)
 	case op < 24:
 		m.known(m.intn(4, "of known"))
 	case op < 42:
@@ -727,11 +741,7 @@
 	case op < 91:
 		m.relink(a)
 	case op < 92:
-		if len(m.agents) < 3 && m.chance(80, "few agents") {
-			a.refusing = !a.refusing
-		} else {
-			m.join()
-		}
+		m.joinOrRefuse(a)
 	case op < 93:
 		a.refusing = !a.refusing
 	case op < 94:
