Keep waiting tasks on a repeated fence of the promised epoch

Cause: the owner repeats a fence every 200 ms until the answer. A copy that arrives over an old link after starts of the owner dropped the waiting tasks without an event, also after the recall of the new link, and they stayed awaited. Ruled out: reporting the dropped tasks as withdrawn (the tasks would move for nothing). The owner uses the first reply of an epoch and starts nothing before it, so a later reply need not prove anything about waiting tasks. Conclusion: the model no longer counts a repeated fence as the end of waiting starts, which is stricter.

--- a/internal/agent/owners.go
+++ b/internal/agent/owners.go
@@ -67,7 +67,9 @@
 	l.behind = behind
 }
 
-// fence promises an epoch and reports the records. Waiting tasks are dropped, also if the epoch was promised before.
+// fence promises an epoch and reports the records. Waiting tasks of lower epochs are dropped. A repeated fence of the
+// promised epoch drops nothing: it may arrive late over an old link, after starts of the owner, which would not hear of
+// the dropped tasks.
 func (m *Machine) fence(l *gatewayLink, message *structs.Fence) {
 	reply := &structs.FenceReply{Pool: message.Pool, Epoch: message.Epoch}
 	if message.Epoch < m.promised || !m.isOwnPool(message.Pool) {
@@ -80,9 +82,9 @@
 	if message.Epoch > m.promised {
 		m.promised = message.Epoch
 		m.floor = 0
+		m.queue = nil
+		m.undelivered = nil
 	}
-	m.queue = nil
-	m.undelivered = nil
 	for epoch := range m.detached {
 		reply.Detached = reply.Detached || epoch < message.Epoch
 	}
