--- a/internal/agent/owners.go
+++ b/internal/agent/owners.go
@@ -16,7 +16,7 @@
 }
 
 // undeliveredEvent is a refusal or withdrawal that has not been sent on any link. Unlike the end of a task, such an
-// event is sent once at most: a copy could be taken for the refusal of a later start of the same task.
+// event is sent once at most.
 type undeliveredEvent struct {
 	epoch structs.Epoch
 	event structs.TaskEvent
@@ -67,8 +67,9 @@
 	l.behind = behind
 }
 
-// fence promises an epoch and reports the records. Waiting tasks are dropped, also if the epoch was promised before:
-// an owner that fences again has lost a link and needs to know what its lost messages have not started.
+// fence promises an epoch and reports the records. Waiting tasks of lower epochs are dropped. A repeated fence of the
+// promised epoch drops nothing: it may arrive late over an old link, after starts of the owner, which would not hear of
+// the dropped tasks.
 func (m *Machine) fence(l *gatewayLink, message *structs.Fence) {
 	reply := &structs.FenceReply{Pool: message.Pool, Epoch: message.Epoch}
 	if message.Epoch < m.promised || !m.isOwnPool(message.Pool) {
@@ -78,9 +79,12 @@
 		return
 	}
 	m.pool = message.Pool
-	m.promised = message.Epoch
-	m.queue = nil
-	m.undelivered = nil
+	if message.Epoch > m.promised {
+		m.promised = message.Epoch
+		m.floor = 0
+		m.queue = nil
+		m.undelivered = nil
+	}
 	for epoch := range m.detached {
 		reply.Detached = reply.Detached || epoch < message.Epoch
 	}
@@ -196,8 +200,7 @@
 	m.undelivered = append(m.undelivered, waiting)
 }
 
-// dropUndelivered forgets the refusal of an earlier start of a task that has been sent again: after the new start it
-// could be taken for the refusal of that one.
+// dropUndelivered forgets the refusal of an earlier start of a task that has been sent again: the owner knows of it.
 func (m *Machine) dropUndelivered(task structs.TaskRef) {
 	m.undelivered = slices.DeleteFunc(m.undelivered, func(e undeliveredEvent) bool { return e.event.Task == task })
 }
--- a/internal/agent/starts.go
+++ b/internal/agent/starts.go
@@ -8,6 +8,9 @@
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
+// lostStart is the error of a start that a recall has found missing.
+const lostStart = "the start was lost with a link"
+
 // queued is a task that waits for a slot.
 type queued struct {
 	task      structs.TaskStart
@@ -29,7 +32,7 @@
 		if reason := m.admit(&entry); reason != "" {
 			m.stats.Refused++
 			events = append(events, structs.TaskEvent{
-				Task: entry.task.Task, Kind: structs.TaskRefused, Error: reason,
+				Task: entry.task.Task, Kind: structs.TaskRefused, Error: reason, Attempt: entry.task.Attempt,
 			})
 		}
 	}
@@ -67,6 +70,9 @@
 	if entry.epoch != m.promised || entry.epoch == 0 {
 		return "the epoch is not the promised one"
 	}
+	if entry.task.Attempt < m.floor {
+		return "the start was recalled"
+	}
 	if _, ok := m.cancelled[entry.task.Task.Job.Key]; ok {
 		return "the job is cancelled"
 	}
@@ -111,7 +117,7 @@
 	assert(entry.epoch == m.promised, "a task starts only under the promised epoch")
 	assert(m.now-m.freshAt < structs.AgentFreshness, "a task starts only with a fresh heartbeat")
 	task := entry.task.Task
-	m.records.add(task, entry.epoch, entry.task.Priority == structs.Urgent)
+	m.records.add(&entry.task, entry.epoch)
 	m.running[keyOf(task)] = &running{queued: *entry, startedAt: m.now}
 	m.stats.Started++
 	m.emit(Run{Task: entry.task, MaxResult: m.maxResult()})
@@ -161,7 +167,9 @@
 	} else {
 		m.stats.Withdrawn++
 	}
-	m.deliverOnce(entry.from, entry.epoch, structs.TaskEvent{Task: entry.task.Task, Kind: kind, Error: reason})
+	m.deliverOnce(entry.from, entry.epoch, structs.TaskEvent{
+		Task: entry.task.Task, Kind: kind, Error: reason, Attempt: entry.task.Attempt,
+	})
 }
 
 // withdraw answers for each task whether it was still waiting. A task that is not known is reported as not withdrawn:
@@ -172,8 +180,8 @@
 		event := structs.TaskEvent{Task: task, Kind: structs.TaskNotWithdrawn}
 		i := m.queueIndex(keyOf(task))
 		if i >= 0 && message.Epoch == m.queue[i].epoch {
+			event.Kind, event.Attempt = structs.TaskWithdrawn, m.queue[i].task.Attempt
 			m.queue = slices.Delete(m.queue, i, i+1)
-			event.Kind = structs.TaskWithdrawn
 			m.stats.Withdrawn++
 		}
 		events = append(events, event)
@@ -181,6 +189,26 @@
 	m.sendEvents(l.id, link.Urgent, message.Epoch, events)
 }
 
+// recall refuses for good what was sent before the present link and has not arrived. A recall of another epoch is not
+// the present owner's and changes nothing.
+func (m *Machine) recall(l *gatewayLink, message *structs.Recall) {
+	if message.Epoch != m.promised {
+		return
+	}
+	m.floor = max(m.floor, message.Floor)
+	for _, start := range message.Tasks {
+		key := keyOf(start.Task)
+		// A start of the promised epoch that is not below the floor may still arrive.
+		open := start.Epoch >= message.Epoch && start.Attempt >= m.floor
+		if open || m.records.find(key) != nil || m.queueIndex(key) >= 0 {
+			continue
+		}
+		m.sendEvents(l.id, link.Urgent, start.Epoch, []structs.TaskEvent{{
+			Task: start.Task, Kind: structs.TaskRefused, Error: lostStart, Attempt: start.Attempt,
+		}})
+	}
+}
+
 // cancel drops the waiting tasks of a job and aborts the running ones.
 func (m *Machine) cancel(l *gatewayLink, message *structs.Cancel) {
 	if message.Epoch < m.promised {
@@ -196,7 +224,9 @@
 			return false
 		}
 		m.stats.Withdrawn++
-		events = append(events, structs.TaskEvent{Task: q.task.Task, Kind: structs.TaskWithdrawn})
+		events = append(events, structs.TaskEvent{
+			Task: q.task.Task, Kind: structs.TaskWithdrawn, Attempt: q.task.Attempt,
+		})
 		return true
 	})
 	m.sendEvents(l.id, link.Urgent, message.Epoch, events)
@@ -242,6 +272,7 @@
 		WaitTime: r.startedAt - r.arrivedAt,
 		Result:   in.Result,
 		Error:    in.Error,
+		Attempt:  r.task.Attempt,
 	}
 	m.report(r.epoch, r.task.Priority, event)
 }
--- a/internal/dispatch/api.go
+++ b/internal/dispatch/api.go
@@ -48,7 +48,7 @@
 	Leaving     bool
 	Eligible    bool
 	// Relinked is true if the link was established anew, so that messages under way may have been lost. The pool
-	// then asks the agent for the results of all tasks in flight.
+	// then asks the agent for the results of all tasks in flight and recalls starts that were lost.
 	Relinked bool
 }
 
@@ -82,12 +82,9 @@
 // are accepted, since adopted tasks were started under them.
 type Events struct {
 	Agent structs.AgentRef
-	// Epoch is TaskEvents.Epoch; 0 stands for the pool's own. A refusal or withdrawal of a lower epoch answers a
-	// start of an earlier owner and proves nothing about a start of this one: it counts only for adopted tasks and
-	// if it is of the epoch before.
-	Epoch structs.Epoch
-	// Unsent is true for refusals made by the shell because no link took the starts. The agent has never seen them.
-	Unsent bool
+	// Epoch is TaskEvents.Epoch; 0 stands for the pool's own, as in refusals made by the shell because no link took
+	// the starts. A refusal or withdrawal counts only if epoch and attempt are those of the task's last start.
+	Epoch  structs.Epoch
 	Events []structs.TaskEvent
 }
 
@@ -166,6 +163,12 @@
 	Cancel structs.Cancel
 }
 
+// SendRecall asks an agent with a new link for the starts that were lost. It goes to the new link, before later starts.
+type SendRecall struct {
+	Agent  structs.AgentRef
+	Recall structs.Recall
+}
+
 // SendFetch asks an agent for the results of an adopted job.
 type SendFetch struct {
 	Agent structs.AgentRef
@@ -197,6 +200,7 @@
 func (SendStart) action()    {}
 func (SendWithdraw) action() {}
 func (SendCancel) action()   {}
+func (SendRecall) action()   {}
 func (SendFetch) action()    {}
 func (Journal) action()      {}
 func (Finish) action()       {}
--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -35,6 +35,8 @@
 	TypeForwardReply
 	TypeHandoff
 	TypeHandoffReply
+	// TypeRecall goes from gateway to agent.
+	TypeRecall
 )
 
 // Envelope is one message inside a WebSocket message, which holds a CBOR array of envelopes.
@@ -126,6 +128,8 @@
 	Result   []byte
 	// Error says why a task failed or was refused.
 	Error string
+	// Attempt is TaskStart.Attempt of the start that the event is about, 0 for TaskNotWithdrawn.
+	Attempt uint64
 }
 
 // TaskEvents is a batch of events.
@@ -144,6 +148,8 @@
 	// Timeout bounds the run time.
 	Timeout time.Duration
 	Payload []byte
+	// Attempt numbers all starts of an epoch from 1, so that epoch and attempt name one start.
+	Attempt uint64
 }
 
 // Start is a batch of starts under one epoch. An agent refuses all of them if it has promised a higher epoch.
@@ -160,6 +166,24 @@
 	Tasks []TaskRef
 }
 
+// Recall asks an agent after a new link which starts have been lost. From then on the agent refuses each start of the
+// epoch with an attempt below Floor that it has not taken, and it reports each listed start as refused whose task
+// neither has a record nor waits. The others get no answer.
+type Recall struct {
+	_     struct{} `cbor:",toarray"`
+	Epoch Epoch
+	Floor uint64
+	Tasks []StartRef
+}
+
+// StartRef names one start of a task.
+type StartRef struct {
+	_       struct{} `cbor:",toarray"`
+	Task    TaskRef
+	Epoch   Epoch
+	Attempt uint64
+}
+
 // Cancel drops the queued tasks of a job and aborts the running ones.
 type Cancel struct {
 	_     struct{} `cbor:",toarray"`
@@ -191,6 +215,9 @@
 	_     struct{} `cbor:",toarray"`
 	Index uint32
 	State RecordState
+	// Epoch and Attempt name the start that the record is of.
+	Epoch   Epoch
+	Attempt uint64
 }
 
 // JobRecords holds an agent's start records of one job.
