--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -83,9 +83,9 @@
 	var s *placement.Server
 	switch p.options.Policy {
 	case PolicyRandom:
-		s = p.index.Random(nil)
+		s = p.index.Random()
 	case PolicyFIFO:
-		s = p.index.Next(nil)
+		s = p.index.Next()
 	default:
 		s = p.chooseFastest(j)
 	}
@@ -101,7 +101,7 @@
 	if j.sub.Priority == structs.Urgent {
 		return p.chooseUrgent(j)
 	}
-	if s := p.index.Fastest(j.kind, placement.RestSlot, nil); s != nil {
+	if s := p.index.Fastest(j.kind, placement.RestSlot); s != nil {
 		return s
 	}
 	mean := j.kind.Mean()
@@ -109,21 +109,21 @@
 	if mean <= placement.ShortRoutine || p.queue.RoutineDue() {
 		need = placement.AnySlot
 	}
-	if s := p.index.Slowest(j.kind, need, nil); s != nil {
+	if s := p.index.Slowest(j.kind, need); s != nil {
 		return s
 	}
 	if mean > prefetchMean || p.queue.Peek(structs.Urgent) != nil {
 		return nil
 	}
-	return p.index.Fastest(j.kind, placement.QueuePlace, nil)
+	return p.index.Fastest(j.kind, placement.QueuePlace)
 }
 
 // chooseUrgent returns the fastest free server, or nil if the job's last waiting task is expected to end earlier by
 // waiting for a faster one. A job waits at most for half the time that the slower server would take.
 func (p *Pool) chooseUrgent(j *job) *placement.Server {
-	s := p.index.Fastest(j.kind, placement.AnySlot, nil)
+	s := p.index.Fastest(j.kind, placement.AnySlot)
 	if s == nil {
-		return p.index.Fastest(j.kind, placement.OvertakePlace, nil)
+		return p.index.Fastest(j.kind, placement.OvertakePlace)
 	}
 	wait, expected := p.index.BetterWait(j.kind, s, p.waiting[structs.Urgent])
 	if !wait {
--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -411,23 +411,14 @@
 // Has reports whether any server passes the filter.
 func (x *Index) Has(need Need) bool { return !x.set(need).empty() }
 
-// Fastest returns the server with the lowest expected run time for a kind among those that pass the filter and are
-// not excluded, or nil.
-func (x *Index) Fastest(k *Kind, need Need, excluded []*Server) *Server {
-	set := x.set(need)
-	x.exclude(set, excluded)
-	number := k.fastest(set, x.turn)
-	x.restore(excluded)
-	return x.at(number)
+// Fastest returns the server with the lowest expected run time for a kind among those that pass the filter, or nil.
+func (x *Index) Fastest(k *Kind, need Need) *Server {
+	return x.at(k.fastest(x.set(need), x.turn))
 }
 
 // Slowest is like Fastest for the highest expected run time.
-func (x *Index) Slowest(k *Kind, need Need, excluded []*Server) *Server {
-	set := x.set(need)
-	x.exclude(set, excluded)
-	number := k.slowest(set, x.turn)
-	x.restore(excluded)
-	return x.at(number)
+func (x *Index) Slowest(k *Kind, need Need) *Server {
+	return x.at(k.slowest(x.set(need), x.turn))
 }
 
 // BetterWait reports whether the last of waiting tasks of a kind is expected to end earlier if all of them wait for
@@ -446,37 +437,20 @@
 }
 
 // Random returns a random server with room, without regard to free slots.
-func (x *Index) Random(excluded []*Server) *Server {
-	x.exclude(&x.room, excluded)
-	number := -1
-	if len(x.servers) > 0 {
-		number = x.room.next(x.random.IntN(len(x.servers)))
+func (x *Index) Random() *Server {
+	if len(x.servers) == 0 {
+		return nil
 	}
-	x.restore(excluded)
-	return x.at(number)
+	return x.at(x.room.next(x.random.IntN(len(x.servers))))
 }
 
 // Next returns the servers with a free slot in turn, without regard to speed.
-func (x *Index) Next(excluded []*Server) *Server {
-	x.exclude(&x.free, excluded)
+func (x *Index) Next() *Server {
 	number := x.free.next(x.cursor)
-	x.restore(excluded)
 	x.cursor = number + 1
 	return x.at(number)
 }
 
-func (x *Index) exclude(set *bitset, excluded []*Server) {
-	for _, s := range excluded {
-		set.clear(s.number)
-	}
-}
-
-func (x *Index) restore(excluded []*Server) {
-	for _, s := range excluded {
-		x.refresh(s)
-	}
-}
-
 func (x *Index) at(number int) *Server {
 	if number < 0 {
 		return nil
