--- a/internal/gateway/api.go
+++ b/internal/gateway/api.go
@@ -138,7 +138,7 @@
 	if g.stopping.Load() && len(g.peers.alive()) == 0 {
 		return stoppingAlone(r)
 	}
-	k := &custodyOf{grant: &grant{memory: &g.held}, waits: wait > 0}
+	k := &pendingJob{grant: &grant{memory: &g.held}, waits: wait > 0}
 	if problem := g.readSubmission(w, r, team, k); problem != nil {
 		k.grant.release()
 		return problem
@@ -162,8 +162,8 @@
 	return p
 }
 
-// readSubmission reads the body and fills the custody.
-func (g *Gateway) readSubmission(w http.ResponseWriter, r *http.Request, team string, k *custodyOf) *structs.Problem {
+// readSubmission reads the body and fills the pending job.
+func (g *Gateway) readSubmission(w http.ResponseWriter, r *http.Request, team string, k *pendingJob) *structs.Problem {
 	body, problem := g.readBody(w, r, k.grant)
 	if problem != nil {
 		return problem
@@ -251,7 +251,7 @@
 }
 
 // assignKey takes the caller's key, or a ticket for repeatable work without one, and derives the job id from it.
-func (g *Gateway) assignKey(r *http.Request, k *custodyOf, name string, service structs.ServiceConfig) *structs.Problem {
+func (g *Gateway) assignKey(r *http.Request, k *pendingJob, name string, service structs.ServiceConfig) *structs.Problem {
 	k.key = r.Header.Get(keyHeader)
 	s := &k.submission
 	switch {
@@ -281,7 +281,7 @@
 }
 
 // respond waits as the caller asked and writes the answer or the state of the job.
-func (g *Gateway) respond(w http.ResponseWriter, r *http.Request, k *custodyOf, wait time.Duration) {
+func (g *Gateway) respond(w http.ResponseWriter, r *http.Request, k *pendingJob, wait time.Duration) {
 	ready := k.done
 	if wait <= 0 {
 		ready, wait = k.accepted, acceptWait
@@ -319,7 +319,7 @@
 
 // stateOf asks the owner for the state of a job whose answer has not come in time. The job may have ended meanwhile;
 // then the reply has the whole answer, since a status of a complete job would lack its results.
-func (g *Gateway) stateOf(ctx context.Context, k *custodyOf) *structs.ForwardReply {
+func (g *Gateway) stateOf(ctx context.Context, k *pendingJob) *structs.ForwardReply {
 	job := k.submission.Job
 	reply, _, err := g.exchange(ctx, structs.Forward{
 		Kind: structs.ForwardFetch, Pool: job.Pool, Job: job, Team: k.submission.Team,
@@ -331,7 +331,7 @@
 }
 
 // unknownStatus describes a job that no owner has confirmed yet.
-func (k *custodyOf) unknownStatus() *structs.JobStatus {
+func (k *pendingJob) unknownStatus() *structs.JobStatus {
 	s := &k.submission
 	return &structs.JobStatus{
 		Job: s.Job, Team: s.Team, Priority: s.Priority, Tasks: len(s.Payloads), Age: time.Since(k.admitted),
@@ -339,8 +339,8 @@
 	}
 }
 
-// writeEnd writes the end of a job of this gateway's custody.
-func (g *Gateway) writeEnd(w http.ResponseWriter, k *custodyOf) {
+// writeEnd writes the end of a pending job.
+func (g *Gateway) writeEnd(w http.ResponseWriter, k *pendingJob) {
 	if k.reply.Answer != nil {
 		g.writeCounted(w, k.reply.Answer)
 		return
@@ -372,7 +372,7 @@
 	return job, nil
 }
 
-// about sends a request about a known job. While the job waits in this gateway's custody for a new owner, it counts
+// about sends a request about a known job. While the job is pending here and waits for a new owner, it counts
 // as pending.
 func (g *Gateway) about(ctx context.Context, f structs.Forward) (*structs.ForwardReply, *structs.Problem) {
 	f.Pool = f.Job.Pool
@@ -383,7 +383,7 @@
 	if problem == nil || (problem.Code != structs.CodeNotFound && problem.Code != structs.CodeUnavailable) {
 		return reply, problem
 	}
-	k := g.custody.of(f.Job)
+	k := g.pending.of(f.Job)
 	if k == nil || k.isDone() || k.submission.Team != f.Team || f.Kind == structs.ForwardCancel {
 		return reply, problem
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,7 +99,7 @@
 	peers   *peers
 	config  *config
 	budget  *journal.Budget
-	custody *custodies
+	pending *pendingJobs
 	tickets *ticketCache
 	held    memory
 	streams atomic.Int64
@@ -107,7 +107,7 @@
 
 	// ctx ends when the gateway ends; it is set by Run before any duty starts.
 	ctx context.Context
-	// background counts pool runners, custodies and other goroutines besides the duties.
+	// background counts pool runners, pending jobs and other goroutines besides the duties.
 	background sync.WaitGroup
 	stopping   atomic.Bool
 	// stopContext ends when a planned stop is ordered.
@@ -144,7 +144,7 @@
 	g.peers = newPeers(g)
 	g.config = newConfig(g)
 	g.budget = journal.NewBudget()
-	g.custody = newCustodies()
+	g.pending = newPendingJobs()
 	g.tickets = newTicketCache(g)
 	g.metrics = newEntryMetrics(g.scope)
 	g.api = &http.Server{
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,7 +14,7 @@
 	refusals    tally.Counter
 	reforwards  tally.Counter
 	held        tally.Gauge
-	custodies   tally.Gauge
+	pending     tally.Gauge
 }
 
 func newEntryMetrics(scope tally.Scope) entryMetrics {
@@ -24,14 +24,14 @@
 		refusals:    scope.Counter("refusals"),
 		reforwards:  scope.Counter("reforwards"),
 		held:        scope.Gauge("held_bytes"),
-		custodies:   scope.Gauge("held_submissions"),
+		pending:     scope.Gauge("pending_jobs"),
 	}
 }
 
 // reportHeld updates the gauges of what is held for callers.
 func (g *Gateway) reportHeld() {
-	count, _ := g.custody.idle()
-	g.metrics.custodies.Update(float64(count))
+	count, _ := g.pending.idle()
+	g.metrics.pending.Update(float64(count))
 	g.metrics.held.Update(float64(g.held.used.Load()))
 }
 
--- a/internal/gateway/custody.go
+++ b/internal/gateway/pending.go
@@ -9,13 +9,13 @@
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
-// custodyGrace is how long a submission is kept beyond its deadline for the owner's statement of the outcome. It
+// pendingGrace is how long a submission is kept beyond its deadline for the owner's statement of the outcome. It
 // covers a takeover.
-const custodyGrace = 10 * time.Second
+const pendingGrace = 10 * time.Second
 
-// custodyOf is the entry side's keeping of one submission: the body stays here until the job's end is known, so that
-// it can be presented to a new owner.
-type custodyOf struct {
+// pendingJob is a submission at its entry gateway. The body stays here until the job's end is known, so that it can be
+// presented to a new owner.
+type pendingJob struct {
 	submission structs.Submission
 	// key is the idempotency key or ticket.
 	key string
@@ -40,27 +40,27 @@
 	suspended  time.Time
 }
 
-// custodies are the kept submissions by job.
-type custodies struct {
+// pendingJobs holds the jobs whose end this entry gateway does not know yet.
+type pendingJobs struct {
 	mu    sync.Mutex
-	byJob map[structs.JobID]*custodyOf
+	byJob map[structs.JobID]*pendingJob
 	count int
-	// empty is closed and replaced when the last custody ends.
+	// empty is closed and replaced when the last pending job ends.
 	empty chan struct{}
 }
 
-func newCustodies() *custodies {
-	return &custodies{byJob: map[structs.JobID]*custodyOf{}, empty: make(chan struct{})}
+func newPendingJobs() *pendingJobs {
+	return &pendingJobs{byJob: map[structs.JobID]*pendingJob{}, empty: make(chan struct{})}
 }
 
-func (c *custodies) add(k *custodyOf) {
+func (c *pendingJobs) add(k *pendingJob) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.byJob[k.submission.Job] = k
 	c.count++
 }
 
-func (c *custodies) remove(k *custodyOf) {
+func (c *pendingJobs) remove(k *pendingJob) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.byJob[k.submission.Job] == k {
@@ -73,38 +73,38 @@
 	}
 }
 
-func (c *custodies) of(job structs.JobID) *custodyOf {
+func (c *pendingJobs) of(job structs.JobID) *pendingJob {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.byJob[job]
 }
 
 // idle returns the number of kept submissions and a channel that is closed when the last one ends.
-func (c *custodies) idle() (int, <-chan struct{}) {
+func (c *pendingJobs) idle() (int, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.count, c.empty
 }
 
-// keep takes a submission into custody and delivers it in a goroutine, one per job.
-func (g *Gateway) keep(k *custodyOf) {
+// keep holds a submission and delivers it in a goroutine, one per job.
+func (g *Gateway) keep(k *pendingJob) {
 	k.accepted, k.done = make(chan struct{}), make(chan struct{})
 	k.unresolved = map[target]bool{}
 	k.admitted = time.Now()
 	k.deadline = k.admitted.Add(k.submission.Deadline)
 	g.metrics.submissions.Inc(1)
-	g.custody.add(k)
+	g.pending.add(k)
 	g.spawn(func() {
 		g.deliver(g.ctx, k)
 		k.grant.release()
-		g.custody.remove(k)
+		g.pending.remove(k)
 	})
 }
 
 // deliver presents the submission to the owner, and to the next one after the loss of an owner, until the end of the
 // job is known or its time is over.
-func (g *Gateway) deliver(ctx context.Context, k *custodyOf) {
-	ctx, cancel := context.WithDeadline(ctx, k.deadline.Add(custodyGrace))
+func (g *Gateway) deliver(ctx context.Context, k *pendingJob) {
+	ctx, cancel := context.WithDeadline(ctx, k.deadline.Add(pendingGrace))
 	defer cancel()
 	present := true
 	for {
@@ -130,8 +130,8 @@
 }
 
 // forward returns the next request: the body, or a wait for the end of a job that its owner has accepted.
-func (k *custodyOf) forward(present bool) structs.Forward {
-	wait := min(maxForwardWait, max(time.Until(k.deadline)+custodyGrace, 0))
+func (k *pendingJob) forward(present bool) structs.Forward {
+	wait := min(maxForwardWait, max(time.Until(k.deadline)+pendingGrace, 0))
 	f := structs.Forward{Pool: k.submission.Job.Pool, Job: k.submission.Job, Team: k.submission.Team, Wait: wait}
 	if !present {
 		f.Kind = structs.ForwardFetch
@@ -148,8 +148,8 @@
 	return f
 }
 
-// note evaluates a reply and reports whether it ended the custody.
-func (k *custodyOf) note(reply *structs.ForwardReply, to target, err error) bool {
+// note evaluates a reply and reports whether the job has ended.
+func (k *pendingJob) note(reply *structs.ForwardReply, to target, err error) bool {
 	switch {
 	case err != nil:
 		if to != (target{}) {
@@ -168,7 +168,7 @@
 	return k.noteProblem(reply, to)
 }
 
-func (k *custodyOf) noteProblem(reply *structs.ForwardReply, to target) bool {
+func (k *pendingJob) noteProblem(reply *structs.ForwardReply, to target) bool {
 	p := reply.Problem
 	if p == nil {
 		k.finish(&structs.ForwardReply{Problem: &structs.Problem{
@@ -187,7 +187,7 @@
 }
 
 // again returns the pause before the body is presented again, and false if the reply is no reason to.
-func (k *custodyOf) again(reply *structs.ForwardReply, err error) (time.Duration, bool) {
+func (k *pendingJob) again(reply *structs.ForwardReply, err error) (time.Duration, bool) {
 	if pause, again := retryLater(reply, err); again {
 		return pause, true
 	}
@@ -210,7 +210,7 @@
 
 // truthful returns the refusal with an outcome that also covers earlier attempts of this request: an owner that says
 // not_run now may have taken the body over a link that broke before its reply.
-func (k *custodyOf) truthful(reply *structs.ForwardReply, to target) *structs.ForwardReply {
+func (k *pendingJob) truthful(reply *structs.ForwardReply, to target) *structs.ForwardReply {
 	p := reply.Problem
 	if p.Outcome != structs.OutcomeNotRun || !k.unresolved[to] || p.Code == structs.CodeKeyReused {
 		return reply
@@ -222,7 +222,7 @@
 
 // timeOver is the reply when no owner has stated the end in time. Without an owner's word only a key that was
 // issued for this request proves that nothing ran.
-func (k *custodyOf) timeOver() *structs.ForwardReply {
+func (k *pendingJob) timeOver() *structs.ForwardReply {
 	outcome := structs.OutcomeMayHaveRun
 	if k.ownKey && len(k.unresolved) == 0 && !k.wasAccepted() {
 		outcome = structs.OutcomeNotRun
@@ -230,9 +230,9 @@
 	return &structs.ForwardReply{Problem: ownerUnavailable(outcome)}
 }
 
-func (k *custodyOf) accept() { k.acceptOnce.Do(func() { close(k.accepted) }) }
+func (k *pendingJob) accept() { k.acceptOnce.Do(func() { close(k.accepted) }) }
 
-func (k *custodyOf) wasAccepted() bool {
+func (k *pendingJob) wasAccepted() bool {
 	select {
 	case <-k.accepted:
 		return true
@@ -241,7 +241,7 @@
 	}
 }
 
-func (k *custodyOf) isDone() bool {
+func (k *pendingJob) isDone() bool {
 	select {
 	case <-k.done:
 		return true
@@ -251,7 +251,7 @@
 }
 
 // finish states the end. Only the first statement counts.
-func (k *custodyOf) finish(reply *structs.ForwardReply) {
+func (k *pendingJob) finish(reply *structs.ForwardReply) {
 	if k.isDone() {
 		return
 	}
--- a/internal/gateway/custody_test.go
+++ b/internal/gateway/pending_test.go
@@ -9,13 +9,13 @@
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
-// TestCustodyClaimsNotRunOnlyWithProof guards against not_run for a body that an owner may have taken over a link that
+// TestEntryClaimsNotRunOnlyWithProof guards against not_run for a body that an owner may have taken over a link that
 // broke before its reply, or that was used under the caller's own key before.
-func TestCustodyClaimsNotRunOnlyWithProof(t *testing.T) {
+func TestEntryClaimsNotRunOnlyWithProof(t *testing.T) {
 	first := target{owner: structs.GatewayRef{ID: "g1", Incarnation: 1}, epoch: 1}
 	second := target{owner: structs.GatewayRef{ID: "g2", Incarnation: 1}, epoch: 2}
-	keep := func(ownKey bool) *custodyOf {
-		return &custodyOf{
+	keep := func(ownKey bool) *pendingJob {
+		return &pendingJob{
 			ownKey: ownKey, accepted: make(chan struct{}), done: make(chan struct{}),
 			unresolved: map[target]bool{}, suspended: time.Now().Add(-suspendedPatience),
 		}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -186,11 +186,11 @@
 	}
 }
 
-// drainCallers waits until no submission is in custody.
+// drainCallers waits until no job is pending.
 func (g *Gateway) drainCallers(ctx context.Context, until time.Time) {
 	for ctx.Err() == nil {
 		left := time.Until(until)
-		count, empty := g.custody.idle()
+		count, empty := g.pending.idle()
 		if count == 0 {
 			break
 		}
