Bench: judge refusals by their code, not by their status

The callers had asked about 100 times: they took status 504 of deadline_exceeded for a state of the gateway. Ruled out: lost answers; each of the jobs had a clear problem with code and outcome (script.log).

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -127,3 +128,11 @@
 	relay.Heal()
 	require.Equal(t, "c", exchange(t, dial(t, relay.Addr()), "c", expectAnswer))
 }
+
+// TestFinalAnswersAreNotRetried guards against callers that ask again until they give up although the answer is final.
+func TestFinalAnswersAreNotRetried(t *testing.T) {
+	require.False(t, transient(http.StatusGatewayTimeout, structs.CodeDeadline))
+	require.False(t, transient(http.StatusBadGateway, structs.CodeTaskFailed))
+	require.True(t, transient(http.StatusServiceUnavailable, structs.CodeOwnerLost))
+	require.True(t, transient(http.StatusBadGateway, ""))
+}
--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -215,12 +215,17 @@
 	return false
 }
 
-// transient reports whether a refusal names a state of one gateway, so that another gateway is worth a try.
+// transient reports whether a refusal names a state of one gateway, so that another gateway is worth a try. A problem
+// is judged by its code: its status can be that of a final answer, as 504 is for a deadline that has passed.
 func transient(status int, code structs.Code) bool {
-	if code == structs.CodeUnavailable || code == structs.CodeStopping || code == structs.CodeOwnerLost {
+	switch code {
+	case structs.CodeUnavailable, structs.CodeStopping, structs.CodeOwnerLost:
 		return true
+	case "":
+		return status == http.StatusBadGateway || status == http.StatusGatewayTimeout
+	default:
+		return false
 	}
-	return status == http.StatusBadGateway || status == http.StatusGatewayTimeout
 }
 
 // errNotConnected marks requests that never reached a gateway.
