--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -136,3 +136,10 @@
 	require.True(t, transient(http.StatusServiceUnavailable, structs.CodeOwnerLost))
 	require.True(t, transient(http.StatusBadGateway, ""))
 }
+
+// TestSeriesValue guards against wasted starts that read as 0 because a counter's line is not recognized.
+func TestSeriesValue(t *testing.T) {
+	require.EqualValues(t, 7, seriesValue(`rosedrift_tasks_refused{gateway="g1",pool="orders.0"} 7`))
+	require.Zero(t, seriesValue(`rosedrift_tasks_started{gateway="g1",pool="orders.0"} 9`))
+	require.Zero(t, seriesValue("# TYPE rosedrift_tasks_refused counter"))
+}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -195,6 +195,7 @@
 	gateways []usage
 	store    standin.StoreStats
 	messages int64
+	wasted   float64
 	bytes    int64
 }
 
@@ -212,6 +213,7 @@
 		s.gateways = append(s.gateways, node.Usage())
 		s.messages += node.Links.messages.Load()
 		s.bytes += node.Links.bytes.Load()
+		s.wasted += wastedStarts(c.client, node.Addr)
 	}
 	response, err := c.client.Get(c.storeURL + "/stats")
 	if err != nil {
@@ -240,6 +242,7 @@
 	r.StoreWritesPerS, r.StoreReadsPerS = writes/seconds, reads/seconds
 	if r.TasksStarted > 0 {
 		r.MessagesPerTask = float64(after.messages-before.messages) / (r.StartsPerS * seconds)
+		r.WastedMessagesPerTask = max(0, after.wasted-before.wasted) / (r.StartsPerS * seconds)
 	} else {
 		r.AgentControlBytesPerS = float64(after.bytes-before.bytes) / seconds / float64(len(after.agents))
 	}
