Read-through: one path for waiting and cancelling, usual names

Waiting for a job and cancelling it repeated the same twelve lines. 'truthful', 'promised-away' and 'performer' are now forAllAttempts, fenced and actionRunner.

--- a/internal/agent/performer.go
+++ b/internal/agent/action_runner.go
@@ -11,8 +11,8 @@
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
-// performer carries out the machine's actions. It belongs to the machine's goroutine.
-type performer struct {
+// actionRunner carries out the machine's actions. It belongs to the machine's goroutine.
+type actionRunner struct {
 	agent    *Agent
 	aborts   map[structs.TaskRef]context.CancelFunc
 	reported Stats
@@ -20,7 +20,7 @@
 }
 
 // step reads the clock, steps the machine and performs its actions.
-func (p *performer) step(machine *Machine, in Input) {
+func (p *actionRunner) step(machine *Machine, in Input) {
 	if ended, ok := in.(Ended); ok {
 		p.aborts[ended.Task]()
 		delete(p.aborts, ended.Task)
@@ -35,7 +35,7 @@
 	}
 }
 
-func (p *performer) perform(action Action) {
+func (p *actionRunner) perform(action Action) {
 	switch action := action.(type) {
 	case Send:
 		p.send(action)
@@ -52,7 +52,7 @@
 
 // send queues a message. A link that takes no more is ended, since the peer would miss an event; the next link gets
 // it again.
-func (p *performer) send(action Send) {
+func (p *actionRunner) send(action Send) {
 	l := p.agent.linkOf(action.Link)
 	if l == nil {
 		return
@@ -67,7 +67,7 @@
 }
 
 // run starts a goroutine for the request of one task. Their number is bounded by the slots.
-func (p *performer) run(action *Run) {
+func (p *actionRunner) run(action *Run) {
 	a := p.agent
 	ctx, cancel := context.WithCancel(a.running)
 	p.aborts[action.Task.Task] = cancel
@@ -78,7 +78,7 @@
 }
 
 // publish hands the counters to readers, metrics and health.
-func (p *performer) publish(now Stats) {
+func (p *actionRunner) publish(now Stats) {
 	a := p.agent
 	a.stats.Store(&now)
 	scope, before := a.options.Scope, p.reported
@@ -108,7 +108,7 @@
 	p.updateHealth(now)
 }
 
-func (p *performer) updateHealth(now Stats) {
+func (p *actionRunner) updateHealth(now Stats) {
 	health := p.agent.options.Health
 	if now.Leaving {
 		health.NotReady(conditionBackend, "the backend server is leaving or has not announced itself for 3 s")
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -201,7 +201,7 @@
 
 // loop is the only goroutine that uses the machine.
 func (a *Agent) loop(ctx context.Context) error {
-	p := performer{agent: a, aborts: make(map[structs.TaskRef]context.CancelFunc)}
+	p := actionRunner{agent: a, aborts: make(map[structs.TaskRef]context.CancelFunc)}
 	machine := New(a.clock(), a.options.Options)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/internal/agent/api.go
+++ b/internal/agent/api.go
@@ -1,5 +1,5 @@
 // Package agent is the process beside a backend server. It holds the server to its slots and connections, records
-// every start, and refuses what would start a task twice, under a promised-away epoch, in an availability zone that
+// every start, and refuses what would start a task twice, under a fenced epoch, in an availability zone that
 // is out, or without fresh word from a gateway.
 //
 // Machine is the deterministic part: Step takes an input and a monotonic time and returns actions. Agent is the shell
--- a/internal/agent/machine_test.go
+++ b/internal/agent/machine_test.go
@@ -370,7 +370,7 @@
 	}
 }
 
-// TestMachineKeepsItsInvariants guards against double starts, starts beyond the slots, starts under a promised-away
+// TestMachineKeepsItsInvariants guards against double starts, starts beyond the slots, starts under a fenced
 // epoch, in a zone that is out or without a fresh heartbeat, false refusals, and starts whose end nobody learns of.
 func TestMachineKeepsItsInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -409,7 +409,7 @@
 	require.True(t, reply.Detached)
 	require.Equal(t, structs.RecordRunning, reply.Jobs[0].Tasks[0].State)
 	old := sentMessages[*structs.AgentHeartbeat](m.Step(0, Received{Link: 1, Message: &structs.GatewayHeartbeat{Seq: 2, Epoch: 1}}))[0]
-	require.EqualValues(t, 1, old.EchoSeq, "a promised-away owner was acknowledged")
+	require.EqualValues(t, 1, old.EchoSeq, "a fenced owner was acknowledged")
 
 	// The old owner still hears of the end, the new one when it announces itself.
 	ended := m.Step(0, Ended{Task: task, Kind: structs.TaskFinished, Result: []byte("r")})
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -296,20 +296,25 @@
 	}
 }
 
-func (p *Pool) wait(in Wait) {
-	j, ok := p.jobs[in.Job.Key]
+func (p *Pool) wait(in Wait) { p.await(in.Job, in.Waiter) }
+
+// await adds a waiter to a known job and returns the job, or answers the waiter at once and returns nil. An adopted
+// job may end by it, when its records show that.
+func (p *Pool) await(id structs.JobID, waiter WaiterID) *job {
+	j, ok := p.jobs[id.Key]
 	if !ok {
-		p.refuseUnknown(in.Waiter)
-		return
+		p.refuseUnknown(waiter)
+		return nil
 	}
 	if j.state == jobEnded {
-		p.reply(j, in.Waiter)
-		return
+		p.reply(j, waiter)
+		return nil
 	}
-	p.addWaiter(j, in.Waiter)
+	p.addWaiter(j, waiter)
 	if j.state == jobBodiless {
 		p.materialize(j)
 	}
+	return j
 }
 
 // refuseUnknown does not claim that the job has not run: its retention may have ended.
@@ -318,20 +323,8 @@
 }
 
 func (p *Pool) cancel(in CancelJob) {
-	j, ok := p.jobs[in.Job.Key]
-	if !ok {
-		p.refuseUnknown(in.Waiter)
-		return
-	}
-	if j.state == jobEnded {
-		p.reply(j, in.Waiter)
-		return
-	}
-	p.addWaiter(j, in.Waiter)
-	if j.state == jobBodiless {
-		p.materialize(j)
-	}
-	if j.state != jobEnded {
+	j := p.await(in.Job, in.Waiter)
+	if j != nil && j.state != jobEnded {
 		p.endJob(j, structs.CodeCancelled, p.outcomeNow(j), "the job was cancelled")
 	}
 }
--- a/internal/gateway/pending.go
+++ b/internal/gateway/pending.go
@@ -182,7 +182,7 @@
 		}
 		return false
 	}
-	k.finish(k.truthful(reply, to))
+	k.finish(k.forAllAttempts(reply, to))
 	return true
 }
 
@@ -208,9 +208,9 @@
 	return retryPause, time.Since(k.suspended) < suspendedPatience
 }
 
-// truthful returns the refusal with an outcome that also covers earlier attempts of this request: an owner that says
+// forAllAttempts returns the refusal with an outcome that also covers earlier attempts of this request: an owner that says
 // not_run now may have taken the body over a link that broke before its reply.
-func (k *pendingJob) truthful(reply *structs.ForwardReply, to target) *structs.ForwardReply {
+func (k *pendingJob) forAllAttempts(reply *structs.ForwardReply, to target) *structs.ForwardReply {
 	p := reply.Problem
 	if p.Outcome != structs.OutcomeNotRun || !k.unresolved[to] || p.Code == structs.CodeKeyReused {
 		return reply
