Give jobs lost with their owner a final code of their own

Ruled out: missing answers; each reply had the same final answer, may_have_run. After: outcome_unknown (502) is final; owner_lost (503) always means that asking again helps.

--- a/client/errors.go
+++ b/client/errors.go
@@ -28,8 +28,10 @@
 	CodeStopping      = "stopping"
 	CodeOwnerLost     = "owner_lost"
 	CodeTaskFailed    = "task_failed"
-	CodeDeadline      = "deadline_exceeded"
-	CodeCancelled     = "cancelled"
+	// CodeOutcomeUnknown is final: the job was lost with its owner and may have run.
+	CodeOutcomeUnknown = "outcome_unknown"
+	CodeDeadline       = "deadline_exceeded"
+	CodeCancelled      = "cancelled"
 	// CodeNoAnswer is given by this package if no gateway answered before the context or the deadline ended.
 	CodeNoAnswer = "no_answer"
 )
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -133,6 +133,7 @@
 func TestFinalAnswersAreNotRetried(t *testing.T) {
 	require.False(t, transient(http.StatusGatewayTimeout, structs.CodeDeadline))
 	require.False(t, transient(http.StatusBadGateway, structs.CodeTaskFailed))
+	require.False(t, transient(http.StatusBadGateway, structs.CodeOutcomeUnknown))
 	require.True(t, transient(http.StatusServiceUnavailable, structs.CodeOwnerLost))
 	require.True(t, transient(http.StatusBadGateway, ""))
 }
--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -48,7 +48,7 @@
 
 // endUnproven ends a job with a task that may have run under the previous owner without a record.
 func (p *Pool) endUnproven(j *job) {
-	p.endJob(j, structs.CodeOwnerLost, structs.OutcomeMayHaveRun, "the previous owner was lost and not all agents could be asked")
+	p.endJob(j, structs.CodeOutcomeUnknown, structs.OutcomeMayHaveRun, "the previous owner was lost and not all agents could be asked")
 }
 
 // finish makes the answer known and drops everything else of the job.
@@ -150,7 +150,7 @@
 	case j.state == jobLive:
 		p.endJob(j, structs.CodeDeadline, p.outcomeNow(j), "the deadline has passed")
 	case len(j.waiters) > 0:
-		p.endJob(j, structs.CodeOwnerLost, p.outcomeNow(j), "the previous owner was lost and the job was not submitted again")
+		p.endJob(j, structs.CodeOutcomeUnknown, p.outcomeNow(j), "the previous owner was lost and the job was not submitted again")
 	default:
 		p.clear(j)
 		p.unlist(j)
--- a/internal/dispatch/refusals_test.go
+++ b/internal/dispatch/refusals_test.go
@@ -52,3 +52,17 @@
 	require.Len(t, r.last, 49)
 	require.Len(t, r.order, 49)
 }
+
+// TestLostJobHasFinalCode guards against the end of a job that callers take for a change of the owner and ask for
+// again until they give up.
+func TestLostJobHasFinalCode(t *testing.T) {
+	p := New(0, Options{Pool: testPool, Epoch: 2})
+	sub := submission("k", 2)
+	sub.Ticketed = false
+	entry := JournalEntry{Key: sub.Job.Key, Digest: sub.Digest, Tasks: 2, Repeatable: true}
+	p.Step(0, Adopt{Journal: []JournalEntry{entry}})
+	p.Step(0, SetMode{Mode: Attached})
+	finish := only[Finish](t, p.Step(0, Submit{Submission: sub, Waiter: 1}))
+	require.Equal(t, structs.CodeOutcomeUnknown, finish.Answer.Problem.Code)
+	require.Equal(t, structs.OutcomeMayHaveRun, finish.Answer.Outcome)
+}
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -20,21 +20,22 @@
 )
 
 var statusOfCode = map[structs.Code]int{
-	structs.CodeBadRequest:    http.StatusBadRequest,
-	structs.CodeNotFound:      http.StatusNotFound,
-	structs.CodeKeyReused:     http.StatusConflict,
-	structs.CodeTicketExpired: http.StatusGone,
-	structs.CodeInDoubt:       http.StatusConflict,
-	structs.CodeQuotaExceeded: http.StatusTooManyRequests,
-	structs.CodeOverloaded:    http.StatusServiceUnavailable,
-	structs.CodeUnavailable:   http.StatusServiceUnavailable,
-	structs.CodeNoServer:      http.StatusServiceUnavailable,
-	structs.CodeDeadline:      http.StatusGatewayTimeout,
-	structs.CodeCancelled:     http.StatusConflict,
-	structs.CodeTaskFailed:    http.StatusBadGateway,
-	structs.CodeServerLost:    http.StatusBadGateway,
-	structs.CodeOwnerLost:     http.StatusServiceUnavailable,
-	structs.CodeResultGone:    http.StatusGone,
+	structs.CodeBadRequest:     http.StatusBadRequest,
+	structs.CodeNotFound:       http.StatusNotFound,
+	structs.CodeKeyReused:      http.StatusConflict,
+	structs.CodeTicketExpired:  http.StatusGone,
+	structs.CodeInDoubt:        http.StatusConflict,
+	structs.CodeQuotaExceeded:  http.StatusTooManyRequests,
+	structs.CodeOverloaded:     http.StatusServiceUnavailable,
+	structs.CodeUnavailable:    http.StatusServiceUnavailable,
+	structs.CodeNoServer:       http.StatusServiceUnavailable,
+	structs.CodeDeadline:       http.StatusGatewayTimeout,
+	structs.CodeCancelled:      http.StatusConflict,
+	structs.CodeTaskFailed:     http.StatusBadGateway,
+	structs.CodeServerLost:     http.StatusBadGateway,
+	structs.CodeOwnerLost:      http.StatusServiceUnavailable,
+	structs.CodeOutcomeUnknown: http.StatusBadGateway,
+	structs.CodeResultGone:     http.StatusGone,
 }
 
 func problemOf(code structs.Code, outcome structs.Outcome, detail string) *structs.Problem {
--- a/internal/gateway/problem.go
+++ b/internal/gateway/problem.go
@@ -28,7 +28,8 @@
 	structs.CodeCancelled:       http.StatusConflict,
 	structs.CodeTaskFailed:      http.StatusBadGateway,
 	structs.CodeServerLost:      http.StatusBadGateway,
-	structs.CodeOwnerLost:       http.StatusBadGateway,
+	structs.CodeOwnerLost:       http.StatusServiceUnavailable,
+	structs.CodeOutcomeUnknown:  http.StatusBadGateway,
 	structs.CodeDeadline:        http.StatusGatewayTimeout,
 	structs.CodeInternal:        http.StatusInternalServerError,
 }
