--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -25,12 +25,12 @@
 	ownPause = 500 * time.Millisecond
 	// documentPause is the pause before a configuration document is sent again on a link.
 	documentPause = time.Second
-	// beatHistory is the number of remembered heartbeats, more than fit into structs.AckLease.
-	beatHistory = 16
+	// heartbeatHistory is the number of remembered heartbeats, more than fit into structs.AckLease.
+	heartbeatHistory = 16
 )
 
-// beat is a sent heartbeat.
-type beat struct {
+// sentHeartbeat is a heartbeat whose acknowledgement may still come.
+type sentHeartbeat struct {
 	seq    uint64
 	epoch  structs.Epoch
 	sentAt time.Duration
@@ -42,16 +42,16 @@
 	link  *link.Link
 	hello structs.AgentHello
 	// pool is empty until the service is configured.
-	pool      structs.PoolID
-	heard     time.Duration
-	echo      uint64
-	seq       uint64
-	beats     [beatHistory]beat
-	sent      heartbeatState
-	sentAt    time.Duration
-	document  time.Duration
-	documents structs.Revision
-	linked    bool
+	pool       structs.PoolID
+	heard      time.Duration
+	echo       uint64
+	seq        uint64
+	heartbeats [heartbeatHistory]sentHeartbeat
+	sent       heartbeatState
+	sentAt     time.Duration
+	document   time.Duration
+	documents  structs.Revision
+	linked     bool
 }
 
 // heartbeatState is the content of a heartbeat whose change is sent at once.
@@ -197,7 +197,7 @@
 			state = a.stateOf(states, pool, heartbeatState{revision: revision, members: version})
 		}
 		if conn.linked && (now-conn.sentAt >= structs.HeartbeatInterval-agentTick/2 || conn.sent != state) {
-			conn.beat(now, state, members)
+			conn.sendHeartbeat(now, state, members)
 		}
 	}
 }
@@ -214,10 +214,10 @@
 	return state
 }
 
-// beat sends a heartbeat. The caller holds agents.mu.
-func (a *agentConn) beat(now time.Duration, state heartbeatState, members []string) {
+// sendHeartbeat sends a heartbeat. The caller holds agents.mu.
+func (a *agentConn) sendHeartbeat(now time.Duration, state heartbeatState, members []string) {
 	a.seq++
-	a.beats[a.seq%beatHistory] = beat{seq: a.seq, epoch: state.epoch, sentAt: now}
+	a.heartbeats[a.seq%heartbeatHistory] = sentHeartbeat{seq: a.seq, epoch: state.epoch, sentAt: now}
 	a.sent, a.sentAt = state, now
 	_ = a.link.Send(link.Control, structs.TypeGatewayHeartbeat, &structs.GatewayHeartbeat{
 		Seq: a.seq, EchoSeq: a.echo, Revision: state.revision, Epoch: state.epoch, Detached: state.detached,
@@ -233,7 +233,7 @@
 	a.mu.Lock()
 	old := a.byID[hello.Agent.ID]
 	if old != nil && old.link == l && old.ref == hello.Agent {
-		conn.seq, conn.beats, conn.echo, conn.sent, conn.sentAt = old.seq, old.beats, old.echo, old.sent, old.sentAt
+		conn.seq, conn.heartbeats, conn.echo, conn.sent, conn.sentAt = old.seq, old.heartbeats, old.echo, old.sent, old.sentAt
 	}
 	a.byID[hello.Agent.ID] = conn
 	a.mu.Unlock()
@@ -293,7 +293,7 @@
 	a.mu.Lock()
 	conn.heard = now
 	conn.echo = max(conn.echo, h.Seq)
-	acked := conn.beats[h.EchoSeq%beatHistory]
+	acked := conn.heartbeats[h.EchoSeq%heartbeatHistory]
 	changed := conn.hello.Leaving != h.Leaving
 	conn.hello.Leaving = h.Leaving
 	change, pool := conn.change(), conn.pool
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -227,9 +227,9 @@
 		case <-ticker.C:
 		case <-p.changed:
 		}
-		beat := p.heartbeat()
+		heartbeat := p.heartbeat()
 		for _, l := range p.links() {
-			_ = l.Send(link.Control, structs.TypePeerHeartbeat, beat)
+			_ = l.Send(link.Control, structs.TypePeerHeartbeat, heartbeat)
 		}
 		p.forgetGone()
 		p.g.reportHeld()
