--- a/internal/bench/check.go
+++ b/internal/bench/check.go
@@ -126,12 +126,14 @@
 		r.JobsComplete++
 		o.recordResponse(r, v)
 	case structs.OutcomeNotRun:
+		r.countCode(v.code)
 		if starts > 0 {
 			r.FalseNotRun++
 			o.keep("not run, but %d starts: %s", starts, v)
 		}
 		r.JobsRefused++
 	case structs.OutcomeMayHaveRun:
+		r.countCode(v.code)
 		r.JobsMayHaveRun++
 	default:
 		if v.code == structs.CodeCancelled {
@@ -288,8 +290,8 @@
 	for _, fault := range o.faults {
 		broken = append(broken, "the run itself: "+fault)
 	}
-	if r.TasksStarted == 0 && len(o.verdicts) > 0 {
-		broken = append(broken, "no task started: the run shows nothing")
+	if r.StartsPerS == 0 && len(o.verdicts) > 0 {
+		broken = append(broken, "no task started in the measured time: the run shows nothing")
 	}
 	return broken
 }
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"rosedrift.example/rosedrift/internal/structs"
 )
 
 // Result is the outcome of a run, printed as one JSON object.
@@ -31,6 +33,8 @@
 	JobsMayHaveRun int `json:"jobs_may_have_run"`
 	JobsRefused    int `json:"jobs_refused"`
 	JobsCancelled  int `json:"jobs_cancelled"`
+	// Codes counts the jobs that were refused or may have run by the code of their problem.
+	Codes map[string]int `json:"codes"`
 	// JobsUnanswered counts jobs whose callers got no answer before they gave up.
 	JobsUnanswered int `json:"jobs_unanswered"`
 	Resubmissions  int `json:"resubmissions"`
@@ -68,6 +72,13 @@
 	timeline        timeline
 }
 
+func (r *Result) countCode(code structs.Code) {
+	if r.Codes == nil {
+		r.Codes = map[string]int{}
+	}
+	r.Codes[string(code)]++
+}
+
 // ratioScale is the resolution of the ratio histograms: one thousandth.
 const ratioScale = 1000
 
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -240,10 +240,11 @@
 		}
 	}
 	r.StoreWritesPerS, r.StoreReadsPerS = writes/seconds, reads/seconds
-	if r.TasksStarted > 0 {
+	switch {
+	case r.StartsPerS > 0:
 		r.MessagesPerTask = float64(after.messages-before.messages) / (r.StartsPerS * seconds)
 		r.WastedMessagesPerTask = max(0, after.wasted-before.wasted) / (r.StartsPerS * seconds)
-	} else {
+	case r.JobsOffered == 0:
 		r.AgentControlBytesPerS = float64(after.bytes-before.bytes) / seconds / float64(len(after.agents))
 	}
 }
