Keep the HTTP status of each code in one place

Cause: dispatch, gateway and admin had a map of codes to statuses each. They had drifted: key_reused was 409 in dispatch and 422 in an entry of the gateway that no problem reached, and a new code needed two edits. Ruled out: a change of answers; dispatch and admin set their statuses before, and the codes that only one map knew come only from there.

--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -228,27 +228,11 @@
 	Outcome string       `json:"outcome"`
 }
 
-// statusOf gives the HTTP status of problems that name none, as those that come from another gateway. Other codes
-// are CodeUnavailable's.
-var statusOf = map[structs.Code]int{
-	structs.CodeBadRequest:     http.StatusBadRequest,
-	structs.CodeUnauthorized:   http.StatusUnauthorized,
-	structs.CodeForbidden:      http.StatusForbidden,
-	structs.CodeNotFound:       http.StatusNotFound,
-	structs.CodeUnknownService: http.StatusNotFound,
-	structs.CodeConflict:       http.StatusConflict,
-	structs.CodeInvalidConfig:  http.StatusUnprocessableEntity,
-	structs.CodeInternal:       http.StatusInternalServerError,
-}
-
 func httpStatus(problem *structs.Problem) int {
 	if problem.Status >= http.StatusBadRequest {
 		return problem.Status
 	}
-	if status, ok := statusOf[problem.Code]; ok {
-		return status
-	}
-	return http.StatusServiceUnavailable
+	return problem.Code.Status()
 }
 
 func writeProblem(w http.ResponseWriter, problem *structs.Problem) {
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -19,27 +18,8 @@
 	maxRetryAfter = time.Minute
 )
 
-var statusOfCode = map[structs.Code]int{
-	structs.CodeBadRequest:     http.StatusBadRequest,
-	structs.CodeNotFound:       http.StatusNotFound,
-	structs.CodeKeyReused:      http.StatusConflict,
-	structs.CodeTicketExpired:  http.StatusGone,
-	structs.CodeInDoubt:        http.StatusConflict,
-	structs.CodeQuotaExceeded:  http.StatusTooManyRequests,
-	structs.CodeOverloaded:     http.StatusServiceUnavailable,
-	structs.CodeUnavailable:    http.StatusServiceUnavailable,
-	structs.CodeNoServer:       http.StatusServiceUnavailable,
-	structs.CodeDeadline:       http.StatusGatewayTimeout,
-	structs.CodeCancelled:      http.StatusConflict,
-	structs.CodeTaskFailed:     http.StatusBadGateway,
-	structs.CodeServerLost:     http.StatusBadGateway,
-	structs.CodeOwnerLost:      http.StatusServiceUnavailable,
-	structs.CodeOutcomeUnknown: http.StatusBadGateway,
-	structs.CodeResultGone:     http.StatusGone,
-}
-
 func problemOf(code structs.Code, outcome structs.Outcome, detail string) *structs.Problem {
-	return &structs.Problem{Code: code, Outcome: outcome, Status: statusOfCode[code], Detail: detail}
+	return &structs.Problem{Code: code, Outcome: outcome, Status: code.Status(), Detail: detail}
 }
 
 func fairqueueQuota(team structs.TeamConfig) fairqueue.Quota {
--- a/internal/gateway/problem.go
+++ b/internal/gateway/problem.go
@@ -10,30 +10,6 @@
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
-// statusOf maps codes to HTTP statuses for problems that name none.
-var statusOf = map[structs.Code]int{
-	structs.CodeBadRequest:      http.StatusBadRequest,
-	structs.CodeUnauthorized:    http.StatusUnauthorized,
-	structs.CodeForbidden:       http.StatusForbidden,
-	structs.CodeNotFound:        http.StatusNotFound,
-	structs.CodeUnknownService:  http.StatusNotFound,
-	structs.CodeTooLarge:        http.StatusRequestEntityTooLarge,
-	structs.CodeKeyRequired:     http.StatusBadRequest,
-	structs.CodeKeyReused:       http.StatusUnprocessableEntity,
-	structs.CodeTicketExpired:   http.StatusGone,
-	structs.CodeInDoubt:         http.StatusConflict,
-	structs.CodeQuotaExceeded:   http.StatusTooManyRequests,
-	structs.CodeTooManyRequests: http.StatusTooManyRequests,
-	structs.CodeConflict:        http.StatusConflict,
-	structs.CodeCancelled:       http.StatusConflict,
-	structs.CodeTaskFailed:      http.StatusBadGateway,
-	structs.CodeServerLost:      http.StatusBadGateway,
-	structs.CodeOwnerLost:       http.StatusServiceUnavailable,
-	structs.CodeOutcomeUnknown:  http.StatusBadGateway,
-	structs.CodeDeadline:        http.StatusGatewayTimeout,
-	structs.CodeInternal:        http.StatusInternalServerError,
-}
-
 // refusal returns a problem with outcome not_run.
 func refusal(code structs.Code, detail string) *structs.Problem {
 	return &structs.Problem{Code: code, Outcome: structs.OutcomeNotRun, Detail: detail}
@@ -53,10 +29,7 @@
 	if p.Status >= http.StatusBadRequest && p.Status != http.StatusMisdirectedRequest {
 		return p.Status
 	}
-	if status, ok := statusOf[p.Code]; ok {
-		return status
-	}
-	return http.StatusServiceUnavailable
+	return p.Code.Status()
 }
 
 // writeProblem writes a problem. job may be nil.
--- a/internal/structs/problem.go
+++ b/internal/structs/problem.go
@@ -1,6 +1,9 @@
 package structs
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // Code is the stable, machine-readable code of a problem.
 type Code string
@@ -40,6 +43,39 @@
 	CodeResultGone Code = "result_gone"
 )
 
+// statuses maps codes to HTTP statuses. Codes that are not listed are http.StatusServiceUnavailable.
+var statuses = map[Code]int{
+	CodeBadRequest:      http.StatusBadRequest,
+	CodeUnauthorized:    http.StatusUnauthorized,
+	CodeForbidden:       http.StatusForbidden,
+	CodeNotFound:        http.StatusNotFound,
+	CodeUnknownService:  http.StatusNotFound,
+	CodeTooLarge:        http.StatusRequestEntityTooLarge,
+	CodeKeyRequired:     http.StatusBadRequest,
+	CodeKeyReused:       http.StatusConflict,
+	CodeTicketExpired:   http.StatusGone,
+	CodeResultGone:      http.StatusGone,
+	CodeInDoubt:         http.StatusConflict,
+	CodeQuotaExceeded:   http.StatusTooManyRequests,
+	CodeTooManyRequests: http.StatusTooManyRequests,
+	CodeConflict:        http.StatusConflict,
+	CodeInvalidConfig:   http.StatusUnprocessableEntity,
+	CodeCancelled:       http.StatusConflict,
+	CodeTaskFailed:      http.StatusBadGateway,
+	CodeServerLost:      http.StatusBadGateway,
+	CodeOutcomeUnknown:  http.StatusBadGateway,
+	CodeDeadline:        http.StatusGatewayTimeout,
+	CodeInternal:        http.StatusInternalServerError,
+}
+
+// Status returns the HTTP status of problems with the code that name none.
+func (c Code) Status() int {
+	if status, ok := statuses[c]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
 // Problem is an error of the caller or admin interface. On HTTP it is a problem detail (RFC 9457).
 type Problem struct {
 	_       struct{} `cbor:",toarray"`
