--- a/client/submission.go
+++ b/client/submission.go
@@ -13,6 +13,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"rosedrift.example/rosedrift/internal/ctxtime"
 )
 
 // submission is the course of one job over several attempts, all under one key.
@@ -189,7 +191,7 @@
 	if reached(err) && (!stated || refused.Outcome != OutcomeNotRun) {
 		s.uncertain = true
 	}
-	if !sleep(ctx, s.pause) {
+	if !ctxtime.Sleep(ctx, s.pause) {
 		return s.final(&Error{
 			Outcome: OutcomeNotRun, Code: CodeNoAnswer, Detail: "no gateway stated the outcome in time", Err: err,
 		})
@@ -219,14 +221,3 @@
 	}
 	return &complete
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
@@ -286,13 +287,4 @@
 	c.finish(verdict{job: &duplicate, outcome: structs.OutcomeComplete, results: answer.Results, attempts: -1})
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
+func sleepUntil(ctx context.Context, at time.Time) bool { return ctxtime.Sleep(ctx, time.Until(at)) }
--- a/internal/configuration/audit.go
+++ b/internal/configuration/audit.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/store"
 	"rosedrift.example/rosedrift/internal/structs"
 )
@@ -150,7 +151,7 @@
 		if err == nil {
 			return entries, nil
 		}
-		if !pause(ctx) {
+		if !ctxtime.Sleep(ctx, retryDelay) {
 			return nil, err
 		}
 	}
--- a/internal/configuration/author.go
+++ b/internal/configuration/author.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/store"
 	"rosedrift.example/rosedrift/internal/structs"
 )
@@ -166,7 +167,7 @@
 		if err == nil || errors.As(err, &malformed) {
 			return found, err
 		}
-		if !pause(ctx) {
+		if !ctxtime.Sleep(ctx, retryDelay) {
 			return stored{}, &StoreError{Err: err}
 		}
 	}
@@ -199,7 +200,7 @@
 		if err == nil || kindOf(err) == store.KindConflict {
 			return nil
 		}
-		if !pause(ctx) {
+		if !ctxtime.Sleep(ctx, retryDelay) {
 			return &StoreError{Err: err}
 		}
 	}
@@ -236,7 +237,7 @@
 				return acceptedOr(next, verdict)
 			}
 		}
-		if !pause(ctx) {
+		if !ctxtime.Sleep(ctx, retryDelay) {
 			return nil, uncertain(next, maybeWritten, err)
 		}
 	}
@@ -303,18 +304,6 @@
 	return structs.Change{}, fmt.Errorf("configuration: revision %d has no audit entry", revision)
 }
 
-// pause waits before a retry. It returns false if the context ends first.
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(retryDelay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // kindOf returns the kind of a store error, and 0 for nil. Errors of other types, such as an ended context, count
 // as unavailable.
 func kindOf(err error) store.Kind {
--- a/internal/gateway/api.go
+++ b/internal/gateway/api.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
@@ -439,7 +440,7 @@
 		if problem != nil || reply.Answer != nil || time.Now().After(until) || ctx.Err() != nil {
 			return reply, problem
 		}
-		if !sleep(ctx, min(retryPause, left)) {
+		if !ctxtime.Sleep(ctx, min(retryPause, left)) {
 			return reply, nil
 		}
 	}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/dispatch"
 	"rosedrift.example/rosedrift/internal/link"
 	"rosedrift.example/rosedrift/internal/ownership"
@@ -355,7 +356,7 @@
 	}
 	_ = level.Info(c.g.logger).Log("msg", "pool record not confirmed", "pool", a.Record.Pool, "err", err)
 	for ctx.Err() == nil && !c.readBack(ctx, key, value, a) {
-		sleep(ctx, readBackPause)
+		ctxtime.Sleep(ctx, readBackPause)
 	}
 }
 
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
@@ -63,7 +64,7 @@
 			Kind: structs.ForwardFetch, Job: job, Team: team, Wait: eventInterval,
 		})
 		ended := problem != nil || reply.Answer != nil
-		if !ended && !sleep(r.Context(), eventInterval-time.Since(started)) {
+		if !ended && !ctxtime.Sleep(r.Context(), eventInterval-time.Since(started)) {
 			return nil
 		}
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/link"
 	"rosedrift.example/rosedrift/internal/structs"
 )
@@ -102,7 +103,7 @@
 		return false
 	case <-changed:
 		// Many requests wait for the same change; a short pause lets the new owner's link come up.
-		return sleep(ctx, retryPause/10)
+		return ctxtime.Sleep(ctx, retryPause/10)
 	case <-timer.C:
 		return true
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -226,25 +226,7 @@
 }
 
 // spawn runs a function in a goroutine that Run waits for.
-func (g *Gateway) spawn(f func()) {
-	g.background.Add(1)
-	go func() {
-		defer g.background.Done()
-		f()
-	}()
-}
-
-// sleep waits and reports whether the context is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
+func (g *Gateway) spawn(f func()) { g.background.Go(f) }
 
 func (g *Gateway) serveAPI(ctx context.Context) error {
 	return serve(ctx, g.api, limitListener(g.options.Listener, maxConnections), g.options.APITLS)
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/dispatch"
 	"rosedrift.example/rosedrift/internal/journal"
 	"rosedrift.example/rosedrift/internal/ownership"
@@ -49,7 +50,7 @@
 		if ctx.Err() == nil {
 			_ = level.Error(r.g.logger).Log("msg", "journal not read", "pool", r.pool, "err", err)
 		}
-		sleep(ctx, malformedPause)
+		ctxtime.Sleep(ctx, malformedPause)
 	}
 }
 
--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/ownership"
 	"rosedrift.example/rosedrift/internal/store"
 	"rosedrift.example/rosedrift/internal/structs"
@@ -38,7 +39,7 @@
 		err := g.renewOnce(ctx)
 		if err != nil {
 			g.renewalFailed(ctx, err)
-			sleep(ctx, renewalPause)
+			ctxtime.Sleep(ctx, renewalPause)
 			continue
 		}
 		if !g.storeReachable() {
@@ -47,7 +48,7 @@
 		g.lastRenewal.Store(int64(sentAt))
 		g.health.Ready("starting")
 		g.control.push(ctx, ownership.LeaseRenewed{SentAt: sentAt})
-		sleep(ctx, max(0, ownership.LeaseRenewal-(g.now()-sentAt)))
+		ctxtime.Sleep(ctx, max(0, ownership.LeaseRenewal-(g.now()-sentAt)))
 	}
 	return nil
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/link"
 	"rosedrift.example/rosedrift/internal/structs"
 )
@@ -144,7 +145,7 @@
 				logger = level.Warn(p.g.logger)
 			}
 			_ = logger.Log("msg", "gateway not reached", "address", address, "err", err)
-			sleep(ctx, pause)
+			ctxtime.Sleep(ctx, pause)
 			pause = min(2*pause, redialMax)
 			continue
 		}
@@ -157,7 +158,7 @@
 			<-out.link.Done()
 		}
 		p.clearOutbound(known, out)
-		sleep(ctx, pause)
+		ctxtime.Sleep(ctx, pause)
 	}
 }
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/dispatch"
 	"rosedrift.example/rosedrift/internal/ownership"
 	"rosedrift.example/rosedrift/internal/store"
@@ -37,7 +38,7 @@
 	g.health.NotReady("stopping", "a planned stop is under way")
 	g.stopping.Store(true)
 	g.peers.wake()
-	sleep(ctx, readinessPause)
+	ctxtime.Sleep(ctx, readinessPause)
 	until := time.Now().Add(g.options.DrainTimeout)
 	// While pools are handed over, the gateway may acquire others.
 	for runners := g.control.all(); len(runners) > 0; runners = g.control.all() {
@@ -65,7 +66,7 @@
 		if len(successors) == 0 && r.idle(ctx) {
 			return false
 		}
-		sleep(ctx, stopPoll)
+		ctxtime.Sleep(ctx, stopPoll)
 	}
 	return false
 }
@@ -206,7 +207,7 @@
 		}
 		timer.Stop()
 	}
-	sleep(ctx, lingerPause)
+	ctxtime.Sleep(ctx, lingerPause)
 }
 
 // finishResponses closes the caller API after the responses under way.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"rosedrift.example/rosedrift/internal/configuration"
+	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/ownership"
 	"rosedrift.example/rosedrift/internal/store"
 	"rosedrift.example/rosedrift/internal/structs"
@@ -45,7 +46,7 @@
 		entries, revision, err := g.listAll(ctx, w.prefix)
 		if err != nil {
 			g.logWatch(ctx, w.prefix, err)
-			sleep(ctx, watchPause)
+			ctxtime.Sleep(ctx, watchPause)
 			continue
 		}
 		w.reset(entries, revision)
@@ -89,7 +90,7 @@
 			return
 		case err != nil:
 			g.logWatch(ctx, w.prefix, err)
-			sleep(ctx, watchPause)
+			ctxtime.Sleep(ctx, watchPause)
 		default:
 			revision = max(revision, next)
 			w.apply(events, revision)
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -18,6 +18,7 @@
 	"github.com/go-kit/log/level"
 	"golang.org/x/time/rate"
 
+	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/dispatch"
 	"rosedrift.example/rosedrift/internal/store"
 	"rosedrift.example/rosedrift/internal/structs"
@@ -290,12 +291,8 @@
 
 // pause waits for the next attempt and returns ctx.Err() if ctx ends first.
 func pause(ctx context.Context, retry *backoff.ExponentialBackOff) error {
-	timer := time.NewTimer(retry.NextBackOff())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !ctxtime.Sleep(ctx, retry.NextBackOff()) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/time/rate"
 
+	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/store"
 )
 
@@ -255,14 +256,10 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !ctxtime.Sleep(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 func waitFor(ctx context.Context, changed <-chan struct{}) error {
