Agent: raise the fencing token when the server is born anew

Cause: the stops that were sent after a birth are calls of their own, which may be late too; until one arrives nothing refuses the old order. The fencing token of the new life was that of the old one.

Ruled out: a late order before the agent's first call of the new life. The world test leaves just this case out and still carries such orders out from the first call on.

Change: the room owns the token and raises it at a birth; runs whose start was not answered stay until a list of the new life, asked for with the new token, does not show them. The records of past unanswered starts and their stops after a birth are gone.

Before: fails.

TestUnansweredStartIsStoppedAfterABirth asserted the replaced mechanism; TestTokenRisesWithABirth asserts the same outcome and the proof by list.

--- a/internal/room/api.go
+++ b/internal/room/api.go
@@ -84,10 +84,16 @@
 type CallStart struct {
 	RunRef
 	Payload string
+	// Token is the fencing token of the order.
+	Token uint64
 }
 
 // CallStop asks for a call to the server that stops a run. The answer comes back by StopAnswered.
-type CallStop struct{ RunRef }
+type CallStop struct {
+	RunRef
+	// Token is the fencing token of the order.
+	Token uint64
+}
 
 // Send is a message to a gateway.
 type Send struct {
@@ -119,6 +125,8 @@
 type Options struct {
 	Self structs.AgentRef
 	Zone string
+	// Token is the first fencing token. It must be above those of earlier agents beside the same server.
+	Token uint64
 	// TaskName returns the name of a task towards the backend server.
 	TaskName func(job string, step, index int) string
 	// RunLease is the longest time for which the server goes on without a renewal.
@@ -138,9 +146,9 @@
 	BackfillLimit = 30 * time.Millisecond
 	// StopRetry is the time between stops of a run whose stop was not answered.
 	StopRetry = 100 * time.Millisecond
-	// lateOrders is how long after its sending an order without an answer may be carried out: 2 to 12 s on the users'
-	// platform, and a second for the differences of clocks.
-	lateOrders = 13 * time.Second
+	// tokenStep is added to the fencing token when the server has seen a higher one: a second in the unit of the first
+	// token, so that a clock that was set back is made up in a few steps.
+	tokenStep = 1000
 	// silentLists is the number of lists without an answer, one after the other, that close the room. A server that loses
 	// one call in twenty (incident inc-d730) would close it twice a second with one.
 	silentLists = 2
--- a/internal/room/flush.go
+++ b/internal/room/flush.go
@@ -70,7 +70,7 @@
 	slices.SortFunc(due, func(a, b *run) int { return cmp.Compare(a.Task, b.Task) })
 	for _, run := range due {
 		run.stopAt = r.now + time.Hour // until the answer
-		r.actions = append(r.actions, CallStop{RunRef: run.RunRef})
+		r.actions = append(r.actions, CallStop{RunRef: run.RunRef, Token: r.token})
 	}
 }
 
@@ -105,7 +105,7 @@
 	run.state, run.startedAt = starting, r.now
 	r.activate(run)
 	r.used = r.used.Add(run.need)
-	r.actions = append(r.actions, CallStart{RunRef: run.RunRef, Payload: run.payload})
+	r.actions = append(r.actions, CallStart{RunRef: run.RunRef, Payload: run.payload, Token: r.token})
 }
 
 // returnLate returns waiting runs that have not started in the time that their gateway has set.
@@ -150,11 +150,6 @@
 			delete(r.highest, task)
 		}
 	}
-	for ref, until := range r.unproved {
-		if r.now >= until {
-			delete(r.unproved, ref)
-		}
-	}
 	for ref, past := range r.found {
 		if r.now-past.at > eventRetention {
 			delete(r.found, ref)
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -45,6 +45,8 @@
 	stopAt    time.Duration
 	stopped   bool
 	stoppedAt time.Duration
+	// fenced is set if the token was raised instead of a stop: a later list that shows the run calls for the stop.
+	fenced bool
 	// kind is the event that the gateway gets when a stopping run is gone.
 	kind  structs.StartEventKind
 	lagAt time.Duration
@@ -81,9 +83,9 @@
 	queue       []*run
 	used        structs.Room
 	queued      structs.Room
-	// unproved holds starts that were not answered and are gone here, for lateOrders. They may still reach a server that
-	// is born anew: it has forgotten the stop, and its clock begins again, so that no deadline helps.
-	unproved map[RunRef]time.Duration
+	// token is the fencing token of all calls to the server. It rises when the server is born anew: an unanswered order of
+	// before may still reach it, its clock begins again, and it has forgotten all stops.
+	token uint64
 	// highest is the last run number of a task, with the time of its last use.
 	highest map[string]pastRun
 	seen    uint64
@@ -104,7 +106,7 @@
 		active: map[RunRef]*run{}, activeTasks: map[string]int{},
 		highest:    map[string]pastRun{},
 		found:      map[RunRef]foundEnd{},
-		unproved:   map[RunRef]time.Duration{},
+		token:      options.Token,
 		claimUntil: now + ClaimWait,
 		// An earlier agent may have renewed the lease just before this one started.
 		renewedAt: now,
@@ -182,20 +184,19 @@
 
 // bornAnew forgets what an earlier incarnation of the server knew: its runs, and the numbers of its ends and runs.
 func (r *Room) bornAnew(id string) {
-	r.note(Note{Message: "server born anew", Detail: id})
+	r.token++
+	r.note(Note{Message: "server born anew", Detail: id + " token " + strconv.FormatUint(r.token, 10)})
 	r.dropAll()
-	for ref, until := range r.unproved {
-		if r.now < until && r.active[ref] == nil {
-			r.keep(&run{RunRef: ref, state: stopping, kind: structs.StartLost, startedAt: r.now, stopAt: r.now})
-		}
+	for _, run := range r.active {
+		run.stopped, run.stoppedAt, run.fenced = true, r.now, true
 	}
 	r.survey()
 	r.seen = 0
 	r.highest = map[string]pastRun{}
 }
 
-// dropAll ends all runs of a server that is gone. A start that was not answered may still reach its next incarnation, so
-// it is stopped there first.
+// dropAll ends all runs of a server that is gone. A start that was not answered may have reached its next incarnation, so
+// the run stays until a list of that one does not show it.
 func (r *Room) dropAll() {
 	for _, run := range r.runsInOrder() {
 		if run.answered {
@@ -269,3 +270,16 @@
 }
 
 func (r *Room) note(n Note) { r.actions = append(r.actions, n) }
+
+// Token returns the fencing token for calls to the server.
+func (r *Room) Token() uint64 { return r.token }
+
+// Fenced says that the server has refused a call with a token because it has seen a higher one, from an earlier agent whose
+// clock was ahead.
+func (r *Room) Fenced(now time.Duration, token uint64) {
+	r.advance(now)
+	if r.token == token {
+		r.token += tokenStep
+		r.note(Note{Message: "fencing token raised", Detail: strconv.FormatUint(r.token, 10)})
+	}
+}
--- a/internal/room/runs.go
+++ b/internal/room/runs.go
@@ -23,9 +23,6 @@
 		return
 	}
 	r.deactivate(run)
-	if !run.answered {
-		r.unproved[run.RunRef] = run.startedAt + lateOrders
-	}
 	r.used = r.used.Sub(run.need)
 	r.changed = true
 	r.highest[run.Task] = pastRun{run: max(run.Run, r.highest[run.Task].run), at: r.now}
@@ -247,6 +244,9 @@
 func (r *Room) listed(l Listed) {
 	run := r.active[l.RunRef]
 	if run != nil {
+		if run.fenced {
+			run.fenced, run.stopped, run.stopAt = false, false, r.now
+		}
 		r.checkProgress(run, l.Percent)
 		return
 	}
--- a/internal/roomagent/agent.go
+++ b/internal/roomagent/agent.go
@@ -24,8 +24,7 @@
 type Options struct {
 	Settings platform.Settings
 	Self     structs.AgentRef
-	// Token is the first fencing token. It must be above those of earlier agents beside the same server; the agent
-	// raises it when the server says that it is not.
+	// Token is the first fencing token, see room.Options.
 	Token   uint64
 	Logger  log.Logger
 	Metrics *telemetry.Metrics
@@ -71,7 +70,7 @@
 	a.loop = duty.New(a.flush, func() time.Duration { return a.room.Wake() })
 	a.room = room.New(a.loop.Now(), room.Options{
 		Self: options.Self, Zone: options.Settings.Zone, TaskName: platform.TaskName,
-		RunLease: options.Settings.Bounds.RunLease,
+		RunLease: options.Settings.Bounds.RunLease, Token: options.Token,
 	})
 	a.metrics = newMetrics(options.Metrics.Scope)
 	a.links = newLinks(a)
--- a/internal/roomagent/server.go
+++ b/internal/roomagent/server.go
@@ -34,9 +34,6 @@
 	// rememberTries and rememberPause cover a store that is away at the start for about one interval of heartbeats.
 	rememberTries = 8
 	rememberPause = 150 * time.Millisecond
-	// tokenStep is added to the fencing token when the server has seen a higher one: a second in the unit of the first
-	// token, so that a clock that was set back is made up in a few steps.
-	tokenStep = 1000
 )
 
 // caller calls the backend server.
@@ -50,7 +47,6 @@
 	server   string
 	born     int64
 	kept     keptReport
-	token    uint64
 	clock    int64 // the server's clock in milliseconds
 	clockAt  time.Time
 	cancel   context.CancelFunc // ends the list that is under way
@@ -69,7 +65,6 @@
 		agent:  a,
 		client: platform.NewServerClient(a.options.Settings.ServerAddress, serverConnections),
 		wake:   make(chan struct{}, 1),
-		token:  a.options.Token,
 	}
 }
 
@@ -155,14 +150,14 @@
 	}
 }
 
-// deadline returns the end of a lease that begins now, on the server's clock, and the server and token of an order.
-func (c *caller) deadline() (server string, token uint64, deadline int64) {
+// deadline returns the end of a lease that begins now, on the server's clock, and the server of an order.
+func (c *caller) deadline() (server string, deadline int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.clock != 0 {
 		deadline = c.clock + time.Since(c.clockAt).Milliseconds() + c.agent.options.Settings.Bounds.RunLease.Milliseconds()
 	}
-	return c.server, c.token, deadline
+	return c.server, deadline
 }
 
 func (c *caller) learnClock(clock int64) {
@@ -174,26 +169,17 @@
 	c.mu.Unlock()
 }
 
-// raiseToken answers a server that has seen a higher fencing token, from an earlier agent whose clock was ahead.
-func (c *caller) raiseToken(used uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.token == used {
-		c.token += tokenStep
-		_ = level.Info(c.agent.logger).Log("msg", "fencing token raised", "token", c.token)
-	}
-}
-
 func (c *caller) start(action room.CallStart) {
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	server, token, deadline := c.deadline()
+	server, deadline := c.deadline()
 	answer := platform.AnswerNone
 	var err error
 	if deadline != 0 {
 		var clock int64
 		answer, clock, err = c.client.Start(ctx, server, platform.StartOrder{
-			Task: action.Task, Run: action.Run, Payload: action.Payload, Deadline: deadline, Token: token,
+			Task: action.Task, Run: action.Run, Payload: action.Payload, Deadline: deadline,
+			Token: action.Token,
 		})
 		c.learnClock(clock)
 	} else {
@@ -202,24 +188,28 @@
 	if err != nil {
 		_ = level.Info(c.agent.logger).Log("msg", "start not carried out", "task", action.Task, "run", action.Run, "err", err)
 	}
-	if answer == platform.AnswerFenced {
-		c.raiseToken(token)
-	}
-	c.agent.loop.Do(func(now time.Duration) { c.agent.room.StartAnswered(now, action.RunRef, roomAnswer(answer)) })
+	c.agent.loop.Do(func(now time.Duration) {
+		if answer == platform.AnswerFenced {
+			c.agent.room.Fenced(now, action.Token)
+		}
+		c.agent.room.StartAnswered(now, action.RunRef, roomAnswer(answer))
+	})
 }
 
 func (c *caller) stop(action room.CallStop) {
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	server, token, _ := c.deadline()
-	answer, err := c.client.Stop(ctx, server, action.Task, action.Run, token)
+	server, _ := c.deadline()
+	answer, err := c.client.Stop(ctx, server, action.Task, action.Run, action.Token)
 	if err != nil {
 		_ = level.Info(c.agent.logger).Log("msg", "stop not answered", "task", action.Task, "run", action.Run, "err", err)
 	}
-	if answer == platform.AnswerFenced {
-		c.raiseToken(token)
-	}
-	c.agent.loop.Do(func(now time.Duration) { c.agent.room.StopAnswered(now, action.RunRef, roomAnswer(answer)) })
+	c.agent.loop.Do(func(now time.Duration) {
+		if answer == platform.AnswerFenced {
+			c.agent.room.Fenced(now, action.Token)
+		}
+		c.agent.room.StopAnswered(now, action.RunRef, roomAnswer(answer))
+	})
 }
 
 func roomAnswer(answer platform.Answer) room.Answer {
@@ -286,11 +276,11 @@
 // prepare returns the next question. It returns false if the loop has ended. Before the first heartbeat the question goes
 // to whichever server is there, to learn early what an earlier agent has left running.
 func (c *caller) prepare() (question, bool) {
-	server, token, deadline := c.deadline()
-	q := question{server: server, order: platform.HoldOrder{Token: token, Wait: holdWait}}
+	server, deadline := c.deadline()
+	q := question{server: server, order: platform.HoldOrder{Wait: holdWait}}
 	ok := c.agent.loop.Call(func(now time.Duration) {
 		r := c.agent.room
-		q.order.SeenUpTo, q.asked = r.Seen(), now
+		q.order.Token, q.order.SeenUpTo, q.asked = r.Token(), r.Seen(), now
 		q.doubtful = r.Silent() || r.Doubtful()
 		q.again = r.Busy() || r.Silent() || !r.Surveyed()
 		if r.Stopping() {
@@ -356,7 +346,7 @@
 		return
 	}
 	if answer == platform.AnswerFenced {
-		c.raiseToken(q.order.Token)
+		c.agent.loop.Do(func(now time.Duration) { c.agent.room.Fenced(now, q.order.Token) })
 		return
 	}
 	if answer == platform.AnswerOther {
