--- a/internal/ownership/conditions_test.go
+++ b/internal/ownership/conditions_test.go
@@ -215,3 +215,40 @@
 	s.join(2)
 	require.False(t, s.eligible[agentRef(2)])
 }
+
+// TestDoubtOnlyWhereKeysMayBeMissing guards against an owner that refuses all unknown keys for 17 minutes because an agent
+// had left before any key was admitted without a journal entry, and against one that admits keys that may have run.
+func TestDoubtOnlyWhereKeysMayBeMissing(t *testing.T) {
+	for name, c := range map[string]struct {
+		departed, doubt, detached bool
+		promising                 []int
+		want                      bool
+	}{
+		"an agent left while attached":          {true, false, true, []int{0, 1, 2}, false},
+		"an agent left with unjournaled keys":   {true, true, true, []int{0, 1, 2}, true},
+		"no agent left":                         {false, true, true, []int{0, 1, 2}, false},
+		"an agent is missing after detachment":  {false, false, true, []int{0, 1}, true},
+		"an agent is missing, journal complete": {true, false, false, []int{0, 1}, false},
+	} {
+		s := newSingle(t)
+		s.holds = true
+		s.do(Members{Live: []structs.GatewayRef{selfRef}, Revision: 10})
+		roster := []structs.AgentRef{agentRef(0), agentRef(1), agentRef(2)}
+		record := Record{Pool: testPool, Epoch: 1, Owner: otherRef, Roster: roster, Departed: c.departed, Doubt: c.doubt}
+		s.do(ObservedRecord{Record: record, Version: 5, Revision: 9})
+		s.join(0, 1, 2)
+		s.sleep(time.Second, true)
+		s.holds = false
+		s.release()
+		epoch, _, _ := s.m.Mode(testPool, s.now)
+		require.Equal(t, structs.Epoch(2), epoch, name)
+		for _, i := range c.promising {
+			s.do(FenceReplied{Agent: agentRef(i), Reply: structs.FenceReply{
+				Pool: testPool, Epoch: epoch, Promised: epoch, Detached: c.detached,
+			}})
+		}
+		s.sleep(max(structs.AckLease, CollectWait), true)
+		require.Len(t, s.adopted, 1, name)
+		require.Equal(t, c.want, s.adopted[0].Adopt.Doubt, name)
+	}
+}
--- a/internal/ownership/record.go
+++ b/internal/ownership/record.go
@@ -244,7 +244,7 @@
 func (m *Machine) handOver(p *pool) {
 	record := p.record
 	record.Previous = nil
-	record.Doubt = p.record.Doubt || p.backlog || p.doubtUntil > 0
+	record.Doubt = p.record.Doubt || p.backlog || p.doubtUntil > 0 || p.detachedUntil > 0
 	record.Epoch++
 	record.Owner = *p.successor
 	record.Handover = true
@@ -333,22 +333,24 @@
 // adopt reports what the collection found.
 func (m *Machine) adopt(p *pool, now time.Duration, whole, waived bool) {
 	complete := whole && !p.record.Departed
-	detached := p.record.Doubt
+	reported := false
 	adopt := dispatch.Adopt{Complete: complete, Journal: p.journal.Entries, RecentOnce: p.journal.RecentOnce}
 	for _, ref := range p.record.Roster {
 		a := p.agents[ref]
 		if a.reply == nil {
 			continue
 		}
-		detached = detached || a.reply.Detached
+		reported = reported || a.reply.Detached
 		adopt.Records = append(adopt.Records, dispatch.AgentRecords{Agent: ref, Jobs: a.reply.Jobs})
 	}
-	adopt.Doubt = waived || (detached && !complete)
+	// Agents that left while everything was in the journal took no key along that is known nowhere else; Doubt in the
+	// record says that one left at another time.
+	adopt.Doubt = waived || (reported && !whole) || (p.record.Doubt && !complete)
 	p.adopted = true
 	if adopt.Doubt {
 		p.doubtUntil = now + RecordRetention
 	}
-	if detached {
+	if reported || p.record.Doubt {
 		p.detachedUntil = now + RecordRetention
 	}
 	m.emit(Adopted{Pool: p.id, Epoch: p.epoch, Adopt: adopt})
