Gateway: count the whole chain of steps of a job

Cause: the time to start by, the lateness and the choice of a server counted a job's longest step. Jobs of several steps were begun when their last steps could not be in time any more; under overload the servers worked for late jobs.

Ruled out: counting only the run times of the later steps.

Change: what comes after a step is its longest chain of run times and learned waits.

--- a/internal/schedule/estimate.go
+++ b/internal/schedule/estimate.go
@@ -12,6 +12,8 @@
 	// kindWeight is the weight of the newest observation of a kind after the first ones. The kinds' means are stable, so
 	// an average over about 100 tasks is taken.
 	kindWeight = 0.01
+	// stepWaitWeight is the weight of the newest wait of a later step: about ten jobs, so that it follows the load.
+	stepWaitWeight = 0.1
 	// serverWeight is the same for a server: about 12 tasks, under a second of one server's work, so that a server that
 	// turns slow is noticed while the others still have room.
 	serverWeight = 0.08
@@ -35,6 +37,22 @@
 	guess  float64
 	spread float64
 	common float64
+	// waits is the number of observed waits of the step, waited the average logarithm of them in milliseconds.
+	waits  float64
+	waited float64
+}
+
+// wait returns the expected time from the end of the steps before this one to its last start, with the messages.
+func (k *kind) wait() time.Duration {
+	if k.waits == 0 {
+		return hopTime
+	}
+	return max(ms(math.Exp(k.waited)), hopTime)
+}
+
+func (k *kind) observeWait(wait time.Duration) {
+	k.waits++
+	k.waited += max(1/k.waits, stepWaitWeight) * (logMs(wait) - k.waited)
 }
 
 // predict returns the expected run time in milliseconds on an average server. estimate is the caller's, 0 if there is
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -155,9 +155,10 @@
 		score += avoidPenalty
 	}
 	// The margin covers the spread of the work; the objective grows with it, the slowness of a server more.
-	inTime := s.now+end+c.run/runMargin <= j.due
+	after := j.steps[t.step].after
+	inTime := s.now+end+after+(c.run+after)/runMargin <= j.due
 	// Waiting tasks keep their order of priority at the agent, so a job waits there as long as it may still be in time.
-	mayBeInTime := s.now <= j.startBy(c.run)
+	mayBeInTime := s.now <= j.startBy(c.run+after)
 	switch {
 	case inTime && c.wait == 0 && c.server != t.avoid:
 		score = s.loadOf(c.server)
@@ -176,7 +177,7 @@
 	return 0, 0
 }
 
-// startBy returns when tasks with an expected run time must have started. Run times are expected too short about as often
+// startBy returns when tasks must have started, with the expected run time of their step and of those after it. Run times are expected too short about as often
 // as too long, so a job that starts at the last moment is late half of the time; only waitShare of its slack is used.
 func (j *job) startBy(run time.Duration) time.Duration {
 	return j.arrival + time.Duration(waitShare*float64(j.due-j.arrival-run-hopTime))
@@ -295,11 +296,11 @@
 			factor = f
 		}
 	}
-	longest := 0.0
+	longest := time.Duration(0)
 	for _, st := range j.steps {
-		longest = max(longest, st.work)
+		longest = max(longest, ms(st.work*factor)+time.Duration(factor*float64(st.after)))
 	}
-	return ms(longest * factor)
+	return longest
 }
 
 // retryAfter returns the expected time to work off the queue.
@@ -346,7 +347,7 @@
 		}
 	}
 	startWithin := time.Duration(0)
-	if by := t.job.startBy(c.run); !t.job.mayHaveRun && s.now < by {
+	if by := t.job.startBy(c.run + st.after); !t.job.mayHaveRun && s.now < by {
 		startWithin = by - s.now
 	}
 	v.seq++
--- a/internal/schedule/replay_test.go
+++ b/internal/schedule/replay_test.go
@@ -130,6 +130,55 @@
 	}
 }
 
+// TestChainsOverloaded guards against jobs of several steps that start so late that their last steps cannot be in time: the
+// time to start by must count the whole chain. The load is 1.6 times the capacity.
+func TestChainsOverloaded(t *testing.T) {
+	l := newLoad(t)
+	chains := func(d time.Duration, perSecond float64) {
+		for end := l.w.now + d; l.w.now < end; l.w.advance(worldTick) {
+			if l.random.Float64() < perSecond/1000 {
+				l.chain(3, 4, 60*time.Millisecond)
+			}
+		}
+	}
+	chains(time.Second, 20)
+	from := l.w.now
+	chains(3*time.Second, 66) // 66 x 3 x 4 x 0.065 s = 51 tasks at once
+	to := l.w.now
+	l.w.advance(3 * time.Second)
+	completed, late := 0, 0
+	for id, began := range l.began {
+		if began < from || began >= to || l.w.answers[id][0].Outcome != schedule.OutcomeCompleted {
+			continue
+		}
+		completed++
+		if l.w.answeredAt[id]-began > time.Duration(1.6*3*float64(l.work[id]))+60*time.Millisecond {
+			late++
+		}
+	}
+	_, _, goodput := l.shares(0, from, to)
+	t.Logf("late %.2f of %d completed jobs, goodput %.2f", float64(late)/float64(completed), completed, goodput)
+	require.LessOrEqual(t, float64(late)/float64(completed), 0.2)
+	require.GreaterOrEqual(t, goodput, 0.9, "work of completed jobs in parts of the capacity")
+}
+
+// chain submits a job of several steps, one after the other, whose tasks all take as long.
+func (l *load) chain(steps, width int, mean time.Duration) {
+	l.number++
+	id := fmt.Sprintf("%016x", l.number)
+	l.work[id] = time.Duration(float64(mean) * math.Exp(0.4*l.random.NormFloat64()))
+	job := testJob(id, width, structs.Room{CPU: 1000, MemoryMB: 10})
+	for i := 1; i < steps; i++ {
+		job.Steps = append(job.Steps, job.Steps[0])
+		job.Steps[i].After = []int{i - 1}
+	}
+	for i := range job.Steps {
+		job.Steps[i].Estimate = time.Duration(float64(l.work[id]) * math.Exp(0.4*l.random.NormFloat64()))
+	}
+	l.began[id] = l.w.now
+	l.w.call(l.w.gateways[l.number%3], job, testRoute(0))
+}
+
 // TestBegunJobsEnd guards against urgent jobs whose last tasks wait behind routine tasks at full servers: the room that
 // becomes free there always goes to a task that waits at the agent.
 func TestBegunJobsEnd(t *testing.T) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -39,10 +39,16 @@
 }
 
 type step struct {
-	spec structs.StepSpec
-	kind *kind
+	number int
+	spec   structs.StepSpec
+	kind   *kind
 	// work is the expected run time of a task in milliseconds on an average server.
 	work float64
+	// after is the expected time from the end of the step to that of the job: the longest chain of steps after it.
+	after time.Duration
+	// readyAt is when the steps before it had completed, longest the longest run of a task that has completed.
+	readyAt time.Duration
+	longest time.Duration
 	// seen is the same as the average of the seenTasks tasks that have completed.
 	seen      float64
 	seenTasks float64
@@ -205,24 +211,30 @@
 	j := &job{
 		spec: in.Job, route: in.Route, waiters: []Waiter{in.Waiter}, arrival: s.now, limit: s.now + in.Limit,
 	}
-	longest := make([]float64, len(in.Job.Steps))
-	chain := 0.0
 	for i, spec := range in.Job.Steps {
-		st := s.newStep(j, i, spec)
-		j.steps = append(j.steps, st)
-		before := 0.0
-		for _, a := range spec.After {
-			before = max(before, longest[a])
-		}
-		longest[i] = before + st.work
-		chain = max(chain, longest[i])
+		j.steps = append(j.steps, s.newStep(j, i, spec))
 	}
-	objective := ms(j.route.Stretch*chain) + j.route.TargetLatency
-	j.due = s.now + objective
+	j.due = s.now + ms(j.route.Stretch*j.chain()) + j.route.TargetLatency
 	s.jobs[in.Job.ID] = j
 	s.enqueue(j)
 }
 
+// chain returns the expected run time in milliseconds of the longest chain of steps on average servers, and sets what comes
+// after each step.
+func (j *job) chain() float64 {
+	longest := 0.0
+	rest := make([]float64, len(j.steps))
+	for i := len(j.steps) - 1; i >= 0; i-- {
+		st := j.steps[i]
+		longest = max(longest, st.work+rest[i])
+		for _, before := range st.spec.After {
+			rest[before] = max(rest[before], st.work+rest[i])
+			j.steps[before].after = max(j.steps[before].after, ms(st.work)+st.kind.wait()+st.after)
+		}
+	}
+	return longest
+}
+
 // join adds a request to a job that is known. One that is being stopped runs again once it has ended.
 func (s *Scheduler) join(j *job, in Submission) {
 	if j.ended {
@@ -234,7 +246,7 @@
 }
 
 func (s *Scheduler) newStep(j *job, number int, spec structs.StepSpec) *step {
-	st := &step{spec: spec, open: spec.Count, pending: spec.Count}
+	st := &step{number: number, spec: spec, open: spec.Count, pending: spec.Count}
 	st.kind = s.kindOf(j.route.Name + "/" + strconv.Itoa(number))
 	st.work = st.kind.predict(spec.Estimate)
 	if spec.MaxPerServer > 0 {
@@ -504,6 +516,7 @@
 	if e.RunTime <= 0 {
 		return
 	}
+	st.longest = max(st.longest, e.RunTime)
 	st.seenTasks++
 	st.seen += (e.RunTime.Seconds()*1000/v.speed.factor() - st.seen) / st.seenTasks
 	average := st.kind.predict(st.spec.Estimate)
@@ -524,12 +537,23 @@
 	if j.ended || st.open > 0 {
 		return
 	}
+	if len(st.spec.After) > 0 {
+		st.kind.observeWait(s.now - st.readyAt - st.longest)
+	}
+	complete := true
 	for _, other := range j.steps {
-		if other.open > 0 {
-			s.enqueue(j) // a step may have become ready
-			return
+		if other.open == 0 {
+			continue
+		}
+		complete = false
+		if slices.Contains(other.spec.After, st.number) {
+			other.readyAt = s.now
 		}
 	}
+	if !complete {
+		s.enqueue(j) // a step may have become ready
+		return
+	}
 	s.end(j, OutcomeCompleted, "complete", 0)
 }
 
--- a/internal/schedule/world_test.go
+++ b/internal/schedule/world_test.go
@@ -17,7 +17,7 @@
 	worldTick  = time.Millisecond
 	runLease   = time.Second
 	stopTime   = 50 * time.Millisecond
-	firstToken = 1000 // of the first agent; each later one begins so much higher
+	firstToken = 1000                    // of the first agent; each later one begins so much higher
 	callerWait = 1300 * time.Millisecond // the time after which a caller sends a job again
 )
 
