--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -86,6 +86,10 @@
 	// token is the fencing token of all calls to the server. It rises when the server is born anew: an unanswered order of
 	// before may still reach it, its clock begins again, and it has forgotten all stops.
 	token uint64
+	// raisedAt is when the token was raised last. tokenSeen is set once a list that was asked for later was answered: from
+	// then on the server refuses older orders.
+	raisedAt  time.Duration
+	tokenSeen bool
 	// highest is the last run number of a task, with the time of its last use.
 	highest map[string]pastRun
 	seen    uint64
@@ -184,7 +188,7 @@
 
 // bornAnew forgets what an earlier incarnation of the server knew: its runs, and the numbers of its ends and runs.
 func (r *Room) bornAnew(id string) {
-	r.token++
+	r.raiseToken(1)
 	r.note(Note{Message: "server born anew", Detail: id + " token " + strconv.FormatUint(r.token, 10)})
 	r.dropAll()
 	for _, run := range r.active {
@@ -274,12 +278,20 @@
 // Token returns the fencing token for calls to the server.
 func (r *Room) Token() uint64 { return r.token }
 
+// TokenSeen reports whether the server refuses orders with older tokens.
+func (r *Room) TokenSeen() bool { return r.tokenSeen }
+
+func (r *Room) raiseToken(by uint64) {
+	r.token += by
+	r.raisedAt, r.tokenSeen = r.now, false
+}
+
 // Fenced says that the server has refused a call with a token because it has seen a higher one, from an earlier agent whose
 // clock was ahead.
 func (r *Room) Fenced(now time.Duration, token uint64) {
 	r.advance(now)
 	if r.token == token {
-		r.token += tokenStep
+		r.raiseToken(tokenStep)
 		r.note(Note{Message: "fencing token raised", Detail: strconv.FormatUint(r.token, 10)})
 	}
 }
--- a/internal/room/runs.go
+++ b/internal/room/runs.go
@@ -180,6 +180,7 @@
 	}
 	r.setSilent(false)
 	r.unanswered, r.failedLists = 0, 0
+	r.tokenSeen = r.tokenSeen || list.Asked > r.raisedAt
 	if r.server != nil && list.Born != 0 {
 		if r.server.Born != 0 && list.Born != r.server.Born {
 			r.bornAnew(r.server.ID)
--- a/internal/roomagent/server.go
+++ b/internal/roomagent/server.go
@@ -282,7 +282,7 @@
 		r := c.agent.room
 		q.order.Token, q.order.SeenUpTo, q.asked = r.Token(), r.Seen(), now
 		q.doubtful = r.Silent() || r.Doubtful()
-		q.again = r.Busy() || r.Silent() || !r.Surveyed()
+		q.again = r.Busy() || r.Silent() || !r.Surveyed() || !r.TokenSeen()
 		if r.Stopping() {
 			q.order.Wait = holdWaitStopping
 		}
