Agent: keep stops that arrive before the survey

The world test had runs of at most 0.9 s, less than the 1.3 s after which callers send a job again, while the users' longest take 3.6 s and more. With runs of up to 4 s it found the fault within 300 checks.

Cause: an agent that has started again keeps a gateway's list of tasks until its server is surveyed. A stop that arrived before that found no run and was lost; the run was then claimed and went on while the caller sent its job again elsewhere.

Change: stops are kept with the list and carried out after the comparison.

--- a/internal/room/gateways.go
+++ b/internal/room/gateways.go
@@ -28,8 +28,9 @@
 	reportAt time.Duration
 	sentAt   time.Duration
 	announce bool // the server report is due
-	// resume is kept until the room is surveyed.
-	resume *structs.Resume
+	// resume and the tasks to stop are kept until the room is surveyed.
+	resume  *structs.Resume
+	stopped []uint64
 }
 
 // Linked says that a link with a gateway has begun, with the gateway's list of its tasks here.
@@ -41,7 +42,7 @@
 		o = &owner{ref: in.Gateway, runs: map[uint64]*run{}, recent: map[uint64]pastEvent{}}
 		r.owners[in.Gateway] = o
 	}
-	o.linked, o.heard, o.announce, o.events, o.resume = true, r.now, true, nil, in
+	o.linked, o.heard, o.announce, o.events, o.resume, o.stopped = true, r.now, true, nil, in, nil
 	if r.surveyed {
 		r.compare(o)
 	}
@@ -64,6 +65,8 @@
 			r.abandon(run)
 		}
 	}
+	r.stopTasks(o, o.stopped)
+	o.stopped = nil
 }
 
 func sortedRuns(o *owner) []*run {
@@ -253,7 +256,15 @@
 		return
 	}
 	o.heard = r.now
-	for _, id := range in.IDs {
+	if o.resume != nil {
+		o.stopped = append(o.stopped, in.IDs...)
+		return
+	}
+	r.stopTasks(o, in.IDs)
+}
+
+func (r *Room) stopTasks(o *owner, ids []uint64) {
+	for _, id := range ids {
 		if run := o.runs[id]; run != nil {
 			r.abandon(run)
 		}
--- a/internal/room/room_test.go
+++ b/internal/room/room_test.go
@@ -304,3 +304,17 @@
 	b.flush()
 	require.Equal(t, []RunRef{{"j00", 2}}, b.starts)
 }
+
+// TestStopBeforeTheSurvey guards against a stop that is lost because the agent has started again and does not know yet what
+// runs: the caller has left and sends the job again 1.3 s later.
+func TestStopBeforeTheSurvey(t *testing.T) {
+	b := newBench(t)
+	b.room = New(b.now, b.room.options)
+	b.room.Linked(b.now, &structs.Resume{Gateway: b.gateway, Tasks: []structs.ResumedTask{{ID: 1, Job: "j", Run: 1}}})
+	b.room.Stop(b.now, b.gateway, &structs.Stop{IDs: []uint64{1}})
+	b.flush()
+	b.room.SetServer(b.now, Server{ID: "s", Born: 10, Service: "svc", Capacity: structs.Room{CPU: 4000}})
+	b.room.Listed(b.now, List{Born: 10, Asked: b.now, Running: []Listed{{RunRef: RunRef{"j00", 1}}}})
+	b.flush()
+	require.Equal(t, []RunRef{{"j00", 1}}, b.stops)
+}
