Gateway: zones count also if their configuration is not used

Cause: a state whose configuration could not be read, or was older than the one in force, was dropped as a whole, with the zones that operators had taken out.

Ruled out: storing such a state with the known configuration. Other gateways would get its revision with an older configuration and ignore the newer one.

Before: TestZonesCountWithoutTheirConfiguration fails in both cases. After: it passes.

--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -137,6 +137,9 @@
 	if state.Revision <= o.state.Revision || len(state.Routing) == 0 {
 		return
 	}
+	// Zones count also if the configuration is not used. The state then stays the known one, so that other gateways never get
+	// this revision with an older configuration.
+	g.scheduler.SetZonesOut(now, state.ZonesOut, state.Revision)
 	routing, err := platform.ParseRouting(state.Routing)
 	if err != nil {
 		_ = level.Error(g.logger).Log("msg", "configuration not understood, keeps the one before", "err", err)
@@ -151,6 +154,5 @@
 	o.routing.Store(routing)
 	_ = level.Info(g.logger).Log("msg", "configuration in force", "version", routing.Version, "revision", state.Revision,
 		"routes", len(routing.Routes), "zones_out", len(state.ZonesOut), "source", source)
-	g.scheduler.SetZonesOut(now, state.ZonesOut, state.Revision)
 	g.agents.broadcast()
 }
--- a/internal/schedule/world_property_test.go
+++ b/internal/schedule/world_property_test.go
@@ -37,12 +37,7 @@
 			a := w.agents[rapid.IntRange(0, 3).Draw(t, "agent")]
 			switch rapid.IntRange(0, 14).Draw(t, "what") {
 			case 0, 1, 2, 3, 4:
-				job := testJob(fmt.Sprintf("%016x", i), rapid.IntRange(1, 6).Draw(t, "width"), structs.Room{CPU: 1000, MemoryMB: 10})
-				for step := range rapid.IntRange(0, 2).Draw(t, "further steps") {
-					job.Steps = append(job.Steps, job.Steps[0])
-					job.Steps[step+1].After = []int{step}
-				}
-				callers = append(callers, w.call(g, job, testRoute(rapid.IntRange(0, 2).Draw(t, "priority"))))
+				callers = append(callers, w.call(g, drawJob(t, i), testRoute(rapid.IntRange(0, 2).Draw(t, "priority"))))
 			case 5:
 				g.kill()
 				w.dropCallersOf(callers, g, t)
@@ -94,6 +89,16 @@
 	})
 }
 
+func drawJob(t *rapid.T, number int) *structs.JobSpec {
+	width := rapid.IntRange(1, 6).Draw(t, "width")
+	job := testJob(fmt.Sprintf("%016x", number), width, structs.Room{CPU: 1000, MemoryMB: 10})
+	for step := range rapid.IntRange(0, 2).Draw(t, "further steps") {
+		job.Steps = append(job.Steps, job.Steps[0])
+		job.Steps[step+1].After = []int{step}
+	}
+	return job
+}
+
 // settle runs the world until no agent has tasks, for a time at most.
 func (w *world) settle(limit time.Duration) {
 	idle := func() bool {
