Gateway: a planned stop closes connections only once they are quiet

Cause, by the code: 2.5 s into a stop all idle connections were closed, and when no request was open the process closed all others at once. The balancer goes on using stopping gateways while more than half of a zone's stop, and a request that has arrived and is not read yet counts as idle.

Change: answers carry Connection: close late in a stop; when no request is open, new connections are refused, and the open ones are closed after 200 ms without a request.

Before: TestLateRequestInAPlannedStopIsRefused fails with a connection that was idle. After: it passes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -41,6 +44,9 @@
 	stopShare = 0.85
 	// drainCheck is the time between looks whether all requests have been answered.
 	drainCheck = 20 * time.Millisecond
+	// quietTime is how long no request must have been open, after new connections are refused, before open ones are closed.
+	// The users count a request as lost if its connection ends without an answer over 200 ms after it was sent.
+	quietTime = 200 * time.Millisecond
 )
 
 // Gateway is one gateway process.
@@ -55,6 +61,8 @@
 	agents    *agents
 	requests  *requests
 	api       *http.Server
+	// listener takes the callers' connections; it is nil before the start.
+	listener atomic.Pointer[net.Listener]
 	metrics   entryMetrics
 	// serving is true while at least one server takes work; it is set by the loop.
 	serving  atomic.Bool
@@ -104,7 +112,7 @@
 	_ = level.Info(g.logger).Log("msg", "gateway started", "gateway", g.options.Self, "zone", g.options.Settings.Zone)
 	duties := []func(context.Context) error{
 		g.loop.Run, g.serveReadiness, g.serveLinks, g.operator.run, g.members.run,
-		func(ctx context.Context) error { return telemetry.ServeHTTP(ctx, g.api) },
+		g.serveCallers,
 		func(ctx context.Context) error {
 			return telemetry.ServeMetrics(ctx, g.options.MetricsListen, g.options.Metrics)
 		},
@@ -114,8 +122,25 @@
 	return err
 }
 
+// serveCallers serves the callers until the context ends, then closes all connections.
+func (g *Gateway) serveCallers(ctx context.Context) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", g.api.Addr)
+	if err != nil {
+		return fmt.Errorf("entry: listening: %w", err)
+	}
+	g.listener.Store(&listener)
+	unhook := context.AfterFunc(ctx, func() { _ = g.api.Close() })
+	defer unhook()
+	if err := g.api.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("entry: serving %s: %w", g.api.Addr, err)
+	}
+	<-ctx.Done() // a planned stop closes the listener before the connections
+	return ctx.Err()
+}
+
 // stop ends in order: the balancer is told, and requests are served until it should send none any more. Later ones are
-// refused, since their jobs could not end before the process must. It ends when all are answered.
+// refused, since their jobs could not end before the process must. When all are answered, new connections are refused, and
+// the open ones are closed once they have been quiet: the balancer goes on sending while most of a zone's gateways stop.
 func (g *Gateway) stop(ctx context.Context) {
 	began := time.Now()
 	g.stopping.Store(true)
@@ -123,17 +148,34 @@
 	limit := time.Duration(stopShare * float64(g.options.Settings.Bounds.StopGrace))
 	ctxtime.Sleep(ctx, min(balancerNotice, limit/2))
 	g.closing.Store(true)
-	g.api.SetKeepAlivesEnabled(false)
-	for time.Since(began) < limit && g.requests.open.Load() > 0 {
-		if !ctxtime.Sleep(ctx, drainCheck) {
-			return
-		}
+	if !g.awaitQuiet(ctx, 0, limit-time.Since(began)) {
+		return
 	}
 	g.members.leave()
+	if listener := g.listener.Load(); listener != nil {
+		_ = (*listener).Close() // it only fails if it is closed
+	}
+	g.awaitQuiet(ctx, quietTime, limit-time.Since(began))
 	_ = level.Info(g.logger).Log("msg", "planned stop ends", "open_requests", g.requests.open.Load(),
 		"after", time.Since(began))
 }
 
+// awaitQuiet waits until no request has been open for a time, and returns false if the context ends before.
+func (g *Gateway) awaitQuiet(ctx context.Context, quiet, limit time.Duration) bool {
+	began, since := time.Now(), time.Now()
+	for time.Since(began) < limit {
+		if g.requests.open.Load() > 0 || g.requests.arrived.Swap(false) {
+			since = time.Now()
+		} else if time.Since(since) >= quiet {
+			return true
+		}
+		if !ctxtime.Sleep(ctx, drainCheck) {
+			return false
+		}
+	}
+	return true
+}
+
 // flush carries out what the scheduler has decided.
 func (g *Gateway) flush(now time.Duration) {
 	for _, action := range g.scheduler.Flush(now) {
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -41,6 +41,8 @@
 type requests struct {
 	gateway *Gateway
 	open    atomic.Int64
+	// arrived is set by each request.
+	arrived atomic.Bool
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -63,6 +65,10 @@
 func (q *requests) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q.open.Add(1)
 	defer q.open.Add(-1)
+	q.arrived.Store(true)
+	if q.gateway.closing.Load() {
+		w.Header().Set("Connection", "close") // the balancer sends the next requests of this caller elsewhere
+	}
 	routing := q.gateway.operator.routing.Load()
 	if routing == nil {
 		refuse(w, http.StatusServiceUnavailable, "unavailable", "the configuration is not known yet", storeRetryAfter)
