--- a/cmd/rosedrift-bench/main.go
+++ b/cmd/rosedrift-bench/main.go
@@ -16,6 +16,7 @@
 	"github.com/alexflint/go-arg"
 
 	"rosedrift.example/rosedrift/internal/bench"
+	"rosedrift.example/rosedrift/platform/soak"
 )
 
 type options struct {
@@ -55,6 +56,9 @@
 		list()
 		return
 	}
+	if o.Scenario == soakScenario {
+		os.Exit(runSoak(&o))
+	}
 	config, err := o.config()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "rosedrift-bench:", err)
@@ -77,7 +81,46 @@
 	}
 }
 
+// soakScenario is the soak of the programs for the users' platform; profile, policy and sizes do not apply to it.
+const soakScenario = "platform-soak"
+
+// runSoak plays one soak and returns the exit code.
+func runSoak(o *options) int {
+	dir := o.Dir
+	var err error
+	if dir == "" {
+		dir, err = os.MkdirTemp("", "rosedrift-soak-")
+	}
+	var result *soak.Result
+	if err == nil {
+		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		result, err = soak.Run(ctx, soak.Config{Seed: o.Seed, Duration: o.Duration, Dir: dir})
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rosedrift-bench:", err)
+		return exitUsage
+	}
+	if !o.JSON {
+		fmt.Println(result.Summary())
+		for _, text := range result.Broken {
+			fmt.Println("broken:", text)
+		}
+	}
+	raw, err := json.Marshal(result)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rosedrift-bench:", err)
+		return exitUsage
+	}
+	fmt.Println(string(raw))
+	if len(result.Broken) > 0 {
+		return exitBroken
+	}
+	return 0
+}
+
 func list() {
+	fmt.Printf("%-18s %s\n", soakScenario, "random faults on the programs for the users' platform")
 	for _, s := range bench.Scenarios() {
 		fmt.Printf("%-18s %s\n", s.Name, s.Summary)
 	}
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -70,7 +70,7 @@
 func NewCluster(ctx context.Context, config Config) (*Cluster, error) {
 	dir, p, policy := config.Dir, config.Profile, config.Policy
 	c := &Cluster{profile: p, dir: dir, profiles: config.Profiles, direct: config.Scenario.Direct, client: &http.Client{Timeout: 10 * time.Second}}
-	if err := build(dir, "rosedrift-standin", "rosedrift-gateway", "rosedrift-agent"); err != nil {
+	if err := Build(dir, "rosedrift-standin", "rosedrift-gateway", "rosedrift-agent"); err != nil {
 		return nil, err
 	}
 	for _, step := range []func() error{
@@ -95,7 +95,7 @@
 		return err
 	}
 	c.storeURL = "http://" + addr
-	c.Store, err = newProcess(c.dir, "rosedrift-standin", "store", "store", "--listen", addr)
+	c.Store, err = NewProcess(c.dir, "rosedrift-standin", "store", "store", "--listen", addr)
 	if err != nil {
 		return err
 	}
@@ -150,7 +150,7 @@
 		"--name", name, "--zone", c.profile.Zone(i), "--listen", addr, "--link-listen", linkAddr,
 		"--advertise", advertise, "--store", storeURL, "--policy", policy,
 	}
-	process, err := newProcess(c.dir, "rosedrift-gateway", name, args...)
+	process, err := NewProcess(c.dir, "rosedrift-gateway", name, args...)
 	if err != nil {
 		return nil, err
 	}
@@ -213,7 +213,7 @@
 	for _, gateway := range c.Gateways {
 		args = append(args, gateway.linkAddr)
 	}
-	process, err := newProcess(c.dir, "rosedrift-agent", name, args...)
+	process, err := NewProcess(c.dir, "rosedrift-agent", name, args...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/process.go
+++ b/internal/bench/process.go
@@ -18,6 +18,8 @@
 	Name string
 	args []string
 	path string
+	// Env holds further variables of its environment.
+	Env []string
 	// profiles is the address of the profiling endpoint, empty if profiles are not asked for.
 	profiles string
 	log      *os.File
@@ -29,8 +31,8 @@
 	cpuBefore time.Duration
 }
 
-// build compiles the programs into a directory, once for a run.
-func build(dir string, programs ...string) error {
+// Build compiles the programs into a directory, once for a run.
+func Build(dir string, programs ...string) error {
 	for _, program := range programs {
 		command := exec.Command("go", "build", "-o", filepath.Join(dir, program), "rosedrift.example/rosedrift/cmd/"+program)
 		var output bytes.Buffer
@@ -42,7 +44,8 @@
 	return nil
 }
 
-func newProcess(dir, program, name string, args ...string) (*Process, error) {
+// NewProcess returns a process that has not started. Its output goes to a file of its name in the directory.
+func NewProcess(dir, program, name string, args ...string) (*Process, error) {
 	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
@@ -61,7 +64,7 @@
 	command.Stdout, command.Stderr = p.log, p.log
 	// Limiting the schedulers of each process to the cores of a small VM keeps many processes on one machine from
 	// spinning against each other.
-	command.Env = append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(maxProcs(p.path)))
+	command.Env = append(append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(maxProcs(p.path))), p.Env...)
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start of %s: %w", p.Name, err)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,7 +63,7 @@
 	api       *http.Server
 	// listener takes the callers' connections; it is nil before the start.
 	listener atomic.Pointer[net.Listener]
-	metrics   entryMetrics
+	metrics  entryMetrics
 	// serving is true while at least one server takes work; it is set by the loop.
 	serving  atomic.Bool
 	stopping atomic.Bool
--- a/internal/standin/roomserver.go
+++ b/internal/standin/roomserver.go
@@ -23,8 +23,12 @@
 	Capacity structs.Room
 	// RunLease bounds a lease.
 	RunLease time.Duration
-	// RunTime is how long each task runs.
-	RunTime time.Duration
+	// RunTime is how long each task runs, unless RunTimeOf is set and tells it from the payload.
+	RunTime   time.Duration
+	RunTimeOf func(payload string) time.Duration
+	// Observe, if set, is told of each start of a run and of each end, EndOther if the server restarts. It must not call the
+	// server.
+	Observe func(task string, started bool, end platform.RunEnd)
 }
 
 // RoomServerFaults are the faults of a RoomServer. The zero value is a sound server.
@@ -35,6 +39,10 @@
 	Silent bool
 	// LoseStarts carries starts out and does not answer them.
 	LoseStarts int
+	// LateStarts carries as many starts out LateBy after their arrival, unless the server has been restarted since, and
+	// does not answer them.
+	LateStarts int
+	LateBy     time.Duration
 	Draining   bool
 	// NoHeartbeats sends none.
 	NoHeartbeats bool
@@ -67,6 +75,7 @@
 	run   uint32
 	need  structs.Room
 	began time.Time
+	takes time.Duration
 	timer *time.Timer
 }
 
@@ -112,6 +121,17 @@
 	s.options.RunTime = d
 }
 
+// Restart ends all runs and begins a new life under the same ID, which knows nothing of the one before.
+func (s *RoomServer) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for task, run := range s.runs {
+		s.end(task, run, platform.EndOther)
+	}
+	s.began, s.lease, s.token, s.number, s.sequence = time.Now(), time.Time{}, 0, 0, 0
+	s.highest, s.ends = map[string]uint32{}, nil
+}
+
 // Starts returns the number of runs that were started.
 func (s *RoomServer) Starts() int {
 	s.mu.Lock()
@@ -214,6 +234,11 @@
 		return
 	}
 	defer s.mu.Unlock()
+	if s.faults.LateStarts > 0 {
+		s.faults.LateStarts--
+		s.startLater(order, s.faults.LateBy)
+		panic(http.ErrAbortHandler)
+	}
 	reason := s.start(order)
 	if reason == "" && s.faults.LoseStarts > 0 {
 		s.faults.LoseStarts--
@@ -226,6 +251,17 @@
 	s.answer(w, map[string]any{})
 }
 
+func (s *RoomServer) startLater(order platform.StartOrder, by time.Duration) {
+	began := s.began
+	time.AfterFunc(by, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.began.Equal(began) {
+			_ = s.start(order) // nobody waits for the answer
+		}
+	})
+}
+
 // start carries out a start and returns the reason of a refusal. The caller holds s.mu.
 func (s *RoomServer) start(order platform.StartOrder) string {
 	need := structs.Room{CPU: 1000} // the room of a task is not in the order; the tests use this one
@@ -250,9 +286,15 @@
 	s.highest[order.Task] = order.Run
 	s.used = s.used.Add(need)
 	s.starts++
-	run := &roomRun{run: order.Run, need: need, began: time.Now()}
-	run.timer = time.AfterFunc(s.options.RunTime, func() { s.finish(order.Task, run) })
+	run := &roomRun{run: order.Run, need: need, began: time.Now(), takes: s.options.RunTime}
+	if s.options.RunTimeOf != nil {
+		run.takes = s.options.RunTimeOf(order.Payload)
+	}
+	run.timer = time.AfterFunc(run.takes, func() { s.finish(order.Task, run) })
 	s.runs[order.Task] = run
+	if s.options.Observe != nil {
+		s.options.Observe(order.Task, true, 0)
+	}
 	return ""
 }
 
@@ -298,6 +340,9 @@
 	delete(s.runs, task)
 	s.used = s.used.Sub(run.need)
 	s.number++
+	if s.options.Observe != nil {
+		s.options.Observe(task, false, how)
+	}
 	s.ends = append(s.ends, platform.Ended{Number: s.number, Task: task, Run: run.run, End: how})
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -334,10 +379,14 @@
 	for len(s.ends) > 0 && s.ends[0].Number <= order.SeenUpTo {
 		s.ends = s.ends[1:]
 	}
+	began := s.began
 	s.await(r.Context(), time.Duration(order.WaitMs)*time.Millisecond)
+	if !s.began.Equal(began) {
+		panic(http.ErrAbortHandler) // a connection does not outlive the server's process
+	}
 	running := [][]any{}
 	for task, run := range s.runs {
-		percent := min(int(100*time.Since(run.began)/s.options.RunTime), 99)
+		percent := min(int(100*time.Since(run.began)/run.takes), 99)
 		running = append(running, []any{task, run.run, "", percent, 1000})
 	}
 	ended := [][]any{}
