Gateway: the time of a caller counts while its job waits for a stop

Cause: a job that came again while its placements were being stopped got its whole time from the end of the stop on, and could run for a caller that had left. Ruled out: the callers' leave, which a frozen or cut-off gateway misses.

Before: TestLimitCountsWhileAJobWaitsForItsStop fails (a start for a caller whose 300 ms had passed). After: it passes.

--- a/internal/schedule/links_test.go
+++ b/internal/schedule/links_test.go
@@ -82,3 +82,24 @@
 	}
 	require.Zero(t, s.Known())
 }
+
+// TestLimitCountsWhileAJobWaitsForItsStop guards against a job that comes again while its placements are stopped and then runs
+// beyond the time for which its caller waits.
+func TestLimitCountsWhileAJobWaitsForItsStop(t *testing.T) {
+	w := newWorld(t, 1, 1, structs.Room{CPU: 1000, MemoryMB: 10})
+	w.work = func(string) time.Duration { return time.Second }
+	job := testJob("0000000000000001", 1, structs.Room{CPU: 1000, MemoryMB: 10})
+	g := w.gateways[0]
+	first := g.submit(job, testRoute(0), 3*time.Second)
+	w.advance(100 * time.Millisecond)
+	w.agents[0].frozen = true // so that the stop takes as long
+	g.leave(job.ID, first)
+	w.sentAgain[job.ID] = true
+	g.submit(job, testRoute(0), 300*time.Millisecond)
+	w.advance(500 * time.Millisecond)
+	w.agents[0].frozen = false
+	before := w.started[job.ID]
+	w.advance(3 * time.Second)
+	require.Equal(t, before, w.started[job.ID], "no start for a caller that has left")
+	require.Len(t, w.answers[job.ID], 2)
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -78,8 +78,13 @@
 	mayHaveRun bool
 	placed     int
 	ended      bool
-	// again holds submissions of the same job that came while it was being stopped.
-	again []Submission
+	// again holds submissions of the same job that came while it was being stopped, with the time by which each caller leaves.
+	again []laterSubmission
+}
+
+type laterSubmission struct {
+	Submission
+	limit time.Duration
 }
 
 // server is an agent with its backend server.
@@ -241,7 +246,7 @@
 // join adds a request to a job that is known. One that is being stopped runs again once it has ended.
 func (s *Scheduler) join(j *job, in Submission) {
 	if j.ended {
-		j.again = append(j.again, in)
+		j.again = append(j.again, laterSubmission{Submission: in, limit: s.now + in.Limit})
 		return
 	}
 	j.waiters = append(j.waiters, in.Waiter)
@@ -359,7 +364,8 @@
 	}
 	delete(s.jobs, j.spec.ID)
 	for _, again := range j.again {
-		s.Submit(s.now, again)
+		again.Limit = again.limit - s.now
+		s.Submit(s.now, again.Submission)
 	}
 }
 
