--- a/cmd/rosedrift/main.go
+++ b/cmd/rosedrift/main.go
@@ -47,7 +47,8 @@
 
 // Description implements arg.Described.
 func (options) Description() string {
-	return "Operates rosedrift. \"rosedrift help\" lists the commands, \"rosedrift completion bash\" prints completion for bash."
+	return "Operates rosedrift. \"rosedrift help\" lists the commands, \"rosedrift completion bash\" prints completion for bash. " +
+		"\"rosedrift why job ID logs\" explains a job of the users' platform from log lines on standard input."
 }
 
 // Epilogue implements arg.Epilogued.
@@ -122,6 +123,9 @@
 	case "import":
 		return s.importFile(ctx)
 	}
+	if s.isWhyLogs() {
+		return s.whyLogs()
+	}
 	line := strings.Join(s.Words, " ")
 	command, err := query.Parse(line)
 	if err != nil {
--- a/cmd/rosedrift/main_test.go
+++ b/cmd/rosedrift/main_test.go
@@ -178,3 +178,15 @@
 	require.Equal(t, exitDone, code)
 	require.Contains(t, out, "sum for the key file")
 }
+
+// TestWhyLogs guards against an explanation that needs a gateway, and against a silent success for an unknown job.
+func TestWhyLogs(t *testing.T) {
+	const line = `g1 level=info ts=2026-05-09T13:19:59Z msg="job ended" job=ee outcome=completed age=100ms objective=147ms`
+	var out, errs bytes.Buffer
+	code := run(t.Context(), []string{"why", "job", "ee", "logs"}, terminal{strings.NewReader(line), &out, &errs})
+	require.Equal(t, exitDone, code, errs.String())
+	require.Contains(t, out.String(), "Completed in time.")
+	code = run(t.Context(), []string{"why", "job", "ff", "logs"}, terminal{strings.NewReader(line), &out, &errs})
+	require.Equal(t, exitRefused, code)
+	require.Contains(t, errs.String(), "no line names the job")
+}
