Agent: a start at a new life of the server counts

Cause, from its logs: server-2 had been born anew without the agent's knowledge when it answered a start. The next list told of the birth and showed the run; the agent had already reported all answered runs as lost, and the gateway placed the task elsewhere while the run went on.

Ruled out: a late order (the start was answered), and the stand-in: it refuses nothing here, and the users' server is reached at one address in both lives.

Change: a birth ends no run. A list of the new life decides: a run that was confirmed before the list was asked for and is not shown is lost.

--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -186,21 +186,23 @@
 	r.announceAll()
 }
 
-// bornAnew forgets what an earlier incarnation of the server knew: its runs, and the numbers of its ends and runs.
+// bornAnew forgets the numbers of ends and runs of an earlier incarnation of the server. Its runs are gone, but an answered
+// start may have reached the present one before the agent knew of it, so the next list decides about all runs.
 func (r *Room) bornAnew(id string) {
 	r.raiseToken(1)
 	r.note(Note{Message: "server born anew", Detail: id + " token " + strconv.FormatUint(r.token, 10)})
-	r.dropAll()
 	for _, run := range r.active {
-		run.stopped, run.stoppedAt, run.fenced = true, r.now, true
+		if run.state == stopping {
+			run.stopped, run.stoppedAt, run.fenced = true, r.now, true
+		}
 	}
 	r.survey()
 	r.seen = 0
 	r.highest = map[string]pastRun{}
 }
 
-// dropAll ends all runs of a server that is gone. A start that was not answered may have reached its next incarnation, so
-// the run stays until a list of that one does not show it.
+// dropAll ends all runs of a server that is gone. A start that was not answered may reach its next incarnation, so the run
+// stays until a list of that one does not show it.
 func (r *Room) dropAll() {
 	for _, run := range r.runsInOrder() {
 		if run.answered {
--- a/internal/room/room_test.go
+++ b/internal/room/room_test.go
@@ -318,3 +318,26 @@
 	b.flush()
 	require.Equal(t, []RunRef{{"j00", 1}}, b.stops)
 }
+
+// TestStartAtANewLifeCounts guards against a run that is given up, and started elsewhere, because the agent learns only from
+// the list that shows it that the server had been born anew before the start.
+func TestStartAtANewLifeCounts(t *testing.T) {
+	b := newBench(t)
+	b.place("j", 1, 2, nil)
+	b.answerStarts(AnswerOK)
+	b.room.Listed(b.now, List{Born: 11, Asked: b.now, Running: []Listed{{RunRef: RunRef{"j00", 1}}}})
+	b.flush()
+	require.Equal(t, []structs.StartEventKind{structs.StartLost}, b.kinds(), "the one that is not there")
+	require.True(t, b.room.Busy())
+
+	b = newBench(t)
+	b.place("j", 1, 2, nil)
+	b.answerStarts(AnswerOK)
+	b.room.SetServer(b.now, Server{ID: "s", Born: 11, Service: "svc", Capacity: structs.Room{CPU: 4000}})
+	b.flush()
+	require.Empty(t, b.kinds(), "it is not known which life has them")
+	b.now += time.Millisecond
+	b.room.Listed(b.now, List{Born: 11, Asked: b.now, Running: []Listed{{RunRef: RunRef{"j00", 1}}}})
+	b.flush()
+	require.Equal(t, []structs.StartEventKind{structs.StartLost}, b.kinds())
+}
--- a/internal/schedule/world_property_test.go
+++ b/internal/schedule/world_property_test.go
@@ -60,7 +60,8 @@
 				}
 			case 11:
 				a.reborn()
-				a.run(a.report)
+				// The server's next heartbeat comes later; the agent may learn of the birth from a list before it.
+				w.after(drawDuration(t, 0, 1500, "heartbeat"), func() { a.run(a.report) })
 			case 12:
 				a.dead = true
 				w.after(drawDuration(t, 100, 3000, "death"), func() {
