--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -177,8 +177,9 @@
 	return 0, 0
 }
 
-// startBy returns when tasks must have started, with the expected run time of their step and of those after it. Run times are expected too short about as often
-// as too long, so a job that starts at the last moment is late half of the time; only a part of its slack is used.
+// startBy returns when tasks must have started, given the expected time of their step and of those after it. Run times are
+// expected too short about as often as too long, so a job that starts at the last moment is late half of the time; only a
+// part of its slack is used.
 func (j *job) startBy(run time.Duration) time.Duration {
 	share := waitShare
 	if j.chained {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -78,10 +78,11 @@
 	mayHaveRun bool
 	placed     int
 	ended      bool
-	// again holds submissions of the same job that came while it was being stopped, with the time by which each caller leaves.
+	// again holds submissions of the same job that came while it was being stopped.
 	again []laterSubmission
 }
 
+// laterSubmission waits for the end of an earlier sending of its job. limit is when its caller leaves.
 type laterSubmission struct {
 	Submission
 	limit time.Duration
