Gateway: idle connections close in a planned stop, once the process keeps up

Callers kept using their idle connections to the stopping gateway and were refused.

Change: answers carry Connection: close from the start of a stop. The others still close after 200 ms of quiet.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -44,6 +44,9 @@
 	stopShare = 0.85
 	// drainCheck is the time between looks whether all requests have been answered.
 	drainCheck = 20 * time.Millisecond
+	// pauseLateness is how late a pause of drainCheck may end in a process that gets its processor; timers of the users' VMs fire
+	// a few ms late. With drainCheck it stays far below the 200 ms of quietTime.
+	pauseLateness = 30 * time.Millisecond
 	// quietTime is how long no request must have been open, after new connections are refused, before open ones are closed.
 	// The users count a request as lost if its connection ends without an answer over 200 ms after it was sent.
 	quietTime = 200 * time.Millisecond
@@ -148,6 +151,7 @@
 	limit := time.Duration(stopShare * float64(g.options.Settings.Bounds.StopGrace))
 	ctxtime.Sleep(ctx, min(balancerNotice, limit/2))
 	g.closing.Store(true)
+	g.closeIdle(ctx, limit/4)
 	if !g.awaitQuiet(ctx, 0, limit-time.Since(began)) {
 		return
 	}
@@ -160,6 +164,21 @@
 		"after", time.Since(began))
 }
 
+// closeIdle closes the idle connections, so that their callers come through the balancer. It does so after a pause that ends
+// on time: a process that gets no processor has not read what has arrived, and a connection with an unread request is idle.
+func (g *Gateway) closeIdle(ctx context.Context, limit time.Duration) {
+	for began := time.Now(); time.Since(began) < limit; {
+		pause := time.Now()
+		if !ctxtime.Sleep(ctx, drainCheck) {
+			return
+		}
+		if time.Since(pause) < drainCheck+pauseLateness {
+			g.api.SetKeepAlivesEnabled(false)
+			return
+		}
+	}
+}
+
 // awaitQuiet waits until no request has been open for a time, and returns false if the context ends before.
 func (g *Gateway) awaitQuiet(ctx context.Context, quiet, limit time.Duration) bool {
 	began, since := time.Now(), time.Now()
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -66,8 +66,8 @@
 	q.open.Add(1)
 	defer q.open.Add(-1)
 	q.arrived.Store(true)
-	if q.gateway.closing.Load() {
-		w.Header().Set("Connection", "close") // the balancer sends the next requests of this caller elsewhere
+	if q.gateway.stopping.Load() {
+		w.Header().Set("Connection", "close") // the caller's next connection goes where the balancer sends it
 	}
 	routing := q.gateway.operator.routing.Load()
 	if routing == nil {
