Gateway: the list of gateways is sent to agents when it changes

Each beat of each gateway carried the addresses of all gateways.

Ruled out: reports of room, which are bounded at 333 a second and agent.

Change: a beat carries the list if it has changed since the last one on the link. An agent counts the 20 s after which it forgets a gateway from the end of the link, since lists no longer repeat.

Before: TestMembersAreSentOnce and TestLinkedGatewayStaysKnown fail. After: they pass.

--- a/internal/roomagent/links.go
+++ b/internal/roomagent/links.go
@@ -30,7 +30,7 @@
 	lonelyRefresh = 600 * time.Millisecond
 	// storeTimeout bounds a call to the store, which answers in a few ms.
 	storeTimeout = 600 * time.Millisecond
-	// forgetMember is how long a gateway that is in no list any more is dialed. It covers a lease that the store has
+	// forgetMember is how long a gateway without a link that is in no list any more is dialed. It covers a lease that the store has
 	// taken away from a living gateway.
 	forgetMember = 20 * time.Second
 )
@@ -49,8 +49,8 @@
 // member is a gateway by its link address.
 type member struct {
 	address string
-	// listed is when a list last named it.
-	listed  time.Time
+	// known is when a list last named it or a link with it was last there. Gateways send their list only when it changes.
+	known   time.Time
 	dialing bool
 	pause   time.Duration
 	next    time.Time
@@ -88,7 +88,7 @@
 			m = &member{address: address, pause: redialFirst}
 			l.members[address] = m
 		}
-		m.listed = time.Now()
+		m.known = time.Now()
 	}
 }
 
@@ -134,8 +134,9 @@
 		switch {
 		case m.conn != nil:
 			linked++
+			m.known = now
 		case m.dialing || l.closing || now.Before(m.next):
-		case now.Sub(m.listed) > forgetMember && !slices.Contains(l.agent.options.Settings.Seeds, address):
+		case now.Sub(m.known) > forgetMember && !slices.Contains(l.agent.options.Settings.Seeds, address):
 			delete(l.members, address)
 		default:
 			m.dialing = true
--- a/internal/roomagent/server_test.go
+++ b/internal/roomagent/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
@@ -11,6 +12,23 @@
 	"rosedrift.example/rosedrift/platform"
 )
 
+// TestLinkedGatewayStaysKnown guards against an agent that does not dial a gateway again whose list it has read long ago: the
+// list comes only when it changes.
+func TestLinkedGatewayStaysKnown(t *testing.T) {
+	const address = "127.0.0.1:1"
+	a := New(Options{
+		Settings: platform.Settings{Name: "a", StoreAddress: address, ServerAddress: address},
+		Self:     structs.AgentRef{ID: "a", Incarnation: 1}, Logger: log.NewNopLogger(), Metrics: telemetry.NewMetrics("test", nil),
+	})
+	a.links.learn([]string{address})
+	m := a.links.members[address]
+	m.known, m.conn = time.Now().Add(-2*forgetMember), &conn{}
+	require.Equal(t, 1, a.links.dialMissing(t.Context()))
+	m.conn = nil
+	require.Zero(t, a.links.dialMissing(t.Context()))
+	require.Contains(t, a.links.members, address)
+}
+
 // TestLateHeartbeatIsIgnored guards against orders to a server that has ended, after a heartbeat of it that a partition has
 // held up.
 func TestLateHeartbeatIsIgnored(t *testing.T) {
--- a/internal/schedule/links_test.go
+++ b/internal/schedule/links_test.go
@@ -103,3 +103,38 @@
 	require.Equal(t, before, w.started[job.ID], "no start for a caller that has left")
 	require.Len(t, w.answers[job.ID], 2)
 }
+
+// TestMembersAreSentOnce guards against traffic that grows with the square of the gateways, and against agents that miss a
+// change of the list or a new link's first one.
+func TestMembersAreSentOnce(t *testing.T) {
+	s := schedule.New(0, schedule.Options{Self: structs.GatewayRef{ID: "g", Incarnation: 1}, RunLease: time.Second})
+	now := time.Duration(0)
+	lists := func() (seen []string) {
+		for range 20 {
+			now += 100 * time.Millisecond
+			for _, action := range s.Flush(now) {
+				send, ok := action.(schedule.Send)
+				if !ok {
+					continue
+				}
+				switch m := send.Message.(type) {
+				case *structs.Beat:
+					seen = append(seen, m.Members...)
+				case *structs.Resume:
+					seen = append(seen, m.Members...)
+				}
+			}
+		}
+		return seen
+	}
+	s.SetMembers([]string{"one"})
+	s.Linked(now, "a")
+	require.Equal(t, []string{"one"}, lists())
+	s.SetMembers([]string{"one"})
+	require.Empty(t, lists())
+	s.SetMembers([]string{"two"})
+	require.Equal(t, []string{"two"}, lists())
+	s.Unlinked(now, "a")
+	s.Linked(now, "a")
+	require.Equal(t, []string{"two"}, lists())
+}
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -31,6 +31,7 @@
 		}
 		v.resume = false
 		message := &structs.Resume{Gateway: s.options.Self, Members: s.members, Revision: s.revision}
+		v.told = s.membersVersion
 		for _, t := range sortedTasks(v) {
 			message.Tasks = append(message.Tasks, structs.ResumedTask{
 				ID: t.id, Job: t.job.spec.ID, Step: t.step, Index: t.index, Run: t.run,
@@ -389,7 +390,11 @@
 func (s *Scheduler) sendBeats() {
 	for _, v := range s.order {
 		if v.linked && s.now-v.sentAt >= s.beatInterval(v) {
-			s.send(v, structs.TypeBeat, &structs.Beat{Revision: s.revision, Members: s.members})
+			beat := &structs.Beat{Revision: s.revision}
+			if v.told != s.membersVersion {
+				v.told, beat.Members = s.membersVersion, s.members
+			}
+			s.send(v, structs.TypeBeat, beat)
 		}
 	}
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -110,6 +110,8 @@
 	refusals int
 	pausedTo time.Duration
 	resume   bool
+	// told is the version of the members that the agent has been sent on this link.
+	told uint64
 }
 
 type sentRoom struct {
@@ -131,8 +133,11 @@
 	nextID   uint64
 	zonesOut map[string]bool
 	members  []string
-	revision uint64
-	actions  []Action
+	// membersVersion counts the changes of members. A list for each beat would grow with the square of the gateways: with 100
+	// it was 875 kB/s at an agent.
+	membersVersion uint64
+	revision       uint64
+	actions        []Action
 	// places collects the placements of a Flush.
 	places []Send
 	stops  map[*server][]uint64
@@ -207,7 +212,13 @@
 }
 
 // SetMembers sets the link addresses of the live gateways, which agents are told.
-func (s *Scheduler) SetMembers(members []string) { s.members = members }
+func (s *Scheduler) SetMembers(members []string) {
+	if slices.Equal(s.members, members) {
+		return
+	}
+	s.members = members
+	s.membersVersion++
+}
 
 // Submit takes a caller's request.
 func (s *Scheduler) Submit(now time.Duration, in Submission) {
--- a/internal/structs/room_messages.go
+++ b/internal/structs/room_messages.go
@@ -210,5 +210,6 @@
 type Beat struct {
 	_        struct{} `cbor:",toarray"`
 	Revision uint64
-	Members  []string
+	// Members lists the link addresses of all live gateways if they have changed since the last message with members.
+	Members []string
 }
