Log writer's test: wait until the output blocks

Cause: the writing goroutine had not reached the output when the lines were written; its first batch then reported the dropped ones before it blocked. Ruled out: the writer; a report before the block is what it should do. Change: the test writes the rest after the output has been entered. Its assertions stay.

--- a/internal/telemetry/async_test.go
+++ b/internal/telemetry/async_test.go
@@ -10,13 +10,19 @@
 )
 
 // gatedWriter blocks until it is opened.
+// lineRoom is more than the writes of a test.
+const lineRoom = 1 << 16
+
 type gatedWriter struct {
-	gate chan struct{}
-	mu   sync.Mutex
-	text strings.Builder
+	// entered gets an element with each write, before it waits for the gate.
+	entered chan struct{}
+	gate    chan struct{}
+	mu      sync.Mutex
+	text    strings.Builder
 }
 
 func (w *gatedWriter) Write(p []byte) (int, error) {
+	w.entered <- struct{}{}
 	<-w.gate
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -26,10 +32,13 @@
 // TestAsyncWriterNeverBlocks guards against a process that stops because its log is not read, and against lines that are
 // lost without a trace.
 func TestAsyncWriterNeverBlocks(t *testing.T) {
-	out := &gatedWriter{gate: make(chan struct{})}
+	out := &gatedWriter{gate: make(chan struct{}), entered: make(chan struct{}, lineRoom)}
 	w := NewAsyncWriter(out)
 	const lines = asyncLines + 5000
-	for i := range lines {
+	_, err := fmt.Fprintln(w, "line first")
+	require.NoError(t, err)
+	<-out.entered // else the goroutine may report the dropped lines before it blocks
+	for i := range lines - 1 {
 		_, err := fmt.Fprintf(w, "line %d\n", i)
 		require.NoError(t, err)
 	}
