Read-through: one piece of code where two stood

Behaviour stays as it was. - structs.StateExchange decides when an operator state is sent on a link; the shells of gateways and agents each had the rule and its state.

Left: the receiving of messages in both shells (six lines around different message types), and the shape of imports, constants and message structs.

--- a/cmd/rosedrift-bench/main.go
+++ b/cmd/rosedrift-bench/main.go
@@ -61,26 +61,29 @@
 	}
 	config, err := o.config()
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "rosedrift-bench:", err)
-		os.Exit(exitUsage)
+		os.Exit(fail(err))
 	}
 	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	result, err := bench.Run(ctx, config)
 	stop()
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "rosedrift-bench:", err)
-		os.Exit(exitUsage)
+		os.Exit(fail(err))
 	}
 	if err := print(result, o); err != nil {
-		fmt.Fprintln(os.Stderr, "rosedrift-bench:", err)
-		os.Exit(exitUsage)
+		os.Exit(fail(err))
 	}
 	if len(result.Broken) > 0 {
 		os.Exit(exitBroken)
 	}
 }
 
+// fail prints an error and returns the exit code for it.
+func fail(err error) int {
+	fmt.Fprintln(os.Stderr, "rosedrift-bench:", err)
+	return exitUsage
+}
+
 // soakScenario is the soak of the programs for the users' platform; profile, policy and sizes do not apply to it.
 const soakScenario = "platform-soak"
 
@@ -98,8 +101,7 @@
 		result, err = soak.Run(ctx, soak.Config{Seed: o.Seed, Duration: o.Duration, Dir: dir})
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "rosedrift-bench:", err)
-		return exitUsage
+		return fail(err)
 	}
 	if !o.JSON {
 		fmt.Println(result.Summary())
@@ -109,8 +111,7 @@
 	}
 	raw, err := json.Marshal(result)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "rosedrift-bench:", err)
-		return exitUsage
+		return fail(err)
 	}
 	fmt.Println(string(raw))
 	if len(result.Broken) > 0 {
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -23,12 +23,11 @@
 
 // conn is one link with an agent. Its fields belong to the loop once the agent has named itself.
 type conn struct {
-	agents *agents
-	link   *link.Link
-	agent  structs.AgentRef
-	// sentState is the revision of the operator state that was sent.
-	sentState uint64
-	dropped   bool
+	agents  *agents
+	link    *link.Link
+	agent   structs.AgentRef
+	states  structs.StateExchange
+	dropped bool
 }
 
 func (a *agents) accept(w http.ResponseWriter, r *http.Request) {
@@ -93,7 +92,7 @@
 	case *structs.StartEvents:
 		g.scheduler.Events(now, c.agent.ID, m)
 	case *structs.OperatorState:
-		c.sentState = max(c.sentState, m.Revision)
+		c.states.Received(m.Revision)
 		g.operator.learn(now, m, "agent "+string(c.agent.ID))
 	case *structs.Beat:
 		c.compare(m.Revision)
@@ -121,11 +120,9 @@
 // compare sends the operator state to an agent that knows an older one. It runs in the loop.
 func (c *conn) compare(revision uint64) {
 	state := c.agents.gateway.operator.state
-	if revision >= state.Revision || c.sentState >= state.Revision {
-		return
+	if c.states.Due(state.Revision, revision) {
+		_ = c.link.Send(link.Control, structs.TypeOperatorState, &state) // a link that fails ends, and the next one compares
 	}
-	c.sentState = state.Revision
-	_ = c.link.Send(link.Control, structs.TypeOperatorState, &state)
 }
 
 // Closed implements link.Handler.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -125,20 +124,14 @@
 	return err
 }
 
-// serveCallers serves the callers until the context ends, then closes all connections.
+// serveCallers serves the callers until the context ends. A planned stop closes the listener before the connections.
 func (g *Gateway) serveCallers(ctx context.Context) error {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", g.api.Addr)
 	if err != nil {
 		return fmt.Errorf("entry: listening: %w", err)
 	}
 	g.listener.Store(&listener)
-	unhook := context.AfterFunc(ctx, func() { _ = g.api.Close() })
-	defer unhook()
-	if err := g.api.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-		return fmt.Errorf("entry: serving %s: %w", g.api.Addr, err)
-	}
-	<-ctx.Done() // a planned stop closes the listener before the connections
-	return ctx.Err()
+	return telemetry.ServeListener(ctx, g.api, listener)
 }
 
 // stop ends in order: the balancer is told, and requests are served until it should send none any more. Later ones are
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -272,7 +272,7 @@
 		g.metrics.lost.Inc(1)
 	}
 	f := a.Facts
-	_ = level.Info(g.logger).Log("msg", "job ended", "job", a.Job, "outcome", a.Outcome, "reason", a.Reason,
+	_ = level.Info(g.logger).Log("msg", schedule.MessageEnded, "job", a.Job, "outcome", a.Outcome, "reason", a.Reason,
 		"route", f.Route, "age", f.Age, "objective", f.Objective, "tasks", f.Tasks, "done", f.Done, "placed", f.Placed, "expected", f.Expect,
 		"servers", f.Servers, "revision", g.operator.state.Revision)
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/go-logfmt/logfmt"
+
+	"rosedrift.example/rosedrift/internal/schedule"
 )
 
 // ErrUnknown says that no line names the job.
@@ -88,23 +90,12 @@
 	return n
 }
 
-// Messages and reasons of the log lines that decide the cause.
-const (
-	placed   = "tasks placed"
-	cameBack = "task came back"
-	ended    = "job ended"
-	moved    = "moves a lagging task"
-	noRoom   = "no room in time"
-	leftBy   = "caller left"
-	timeOver = "deadline"
-)
-
 // Cause says in one sentence for each end of the job why it came to it.
 func Cause(events []Event) []string {
 	var causes []string
 	from := 0
 	for i, e := range events {
-		if e.Message == ended {
+		if e.Message == schedule.MessageEnded {
 			causes = append(causes, cause(events[from:i], e))
 			from = i + 1
 		}
@@ -118,11 +109,11 @@
 func cause(events []Event, end Event) string {
 	outcome, reason := end.Fields["outcome"], end.Fields["reason"]
 	switch outcome {
-	case "refused":
+	case schedule.OutcomeRefused.String():
 		return refusal(end, reason)
-	case "lost", "failed":
+	case schedule.OutcomeLost.String(), schedule.OutcomeFailed.String():
 		text := fmt.Sprintf("Given up after %d of %d tasks: %s.", end.number("done"), end.number("tasks"), reason)
-		if reason == leftBy {
+		if reason == schedule.ReasonCallerLeft {
 			text = fmt.Sprintf("The caller left after %v, with %d of %d tasks done.", end.duration("age"), end.number("done"), end.number("tasks"))
 		}
 		return text + returned(events)
@@ -145,10 +136,10 @@
 	switch {
 	case end.number("servers") == 0:
 		return text + "no server took work; look at the links of the agents."
-	case reason == noRoom:
+	case reason == schedule.ReasonNoRoom:
 		return text + fmt.Sprintf("%d servers took work, but none had room for its priority within %v, and tasks of %v could not be in time "+
 			"later.", end.number("servers"), end.duration("age"), end.duration("expected"))
-	case reason == timeOver:
+	case reason == schedule.ReasonDeadline:
 		return text + "the time that its caller gave had passed."
 	}
 	return text + reason + "."
@@ -156,7 +147,7 @@
 
 func firstPlacement(events []Event) time.Duration {
 	for _, e := range events {
-		if e.Message == placed {
+		if e.Message == schedule.MessagePlaced {
 			return e.duration("age")
 		}
 	}
@@ -169,9 +160,9 @@
 	for _, e := range events {
 		kind, _, _ := strings.Cut(e.Fields["detail"], " ")
 		switch e.Message {
-		case cameBack:
+		case schedule.MessageCameBack:
 			count[kind+" at "+cmp.Or(e.Fields["server"], e.Fields["agent"])]++
-		case moved:
+		case schedule.MessageMoved:
 			count["moved off "+e.Fields["agent"]]++
 		}
 	}
--- a/internal/roomagent/links.go
+++ b/internal/roomagent/links.go
@@ -30,8 +30,8 @@
 	lonelyRefresh = 600 * time.Millisecond
 	// storeTimeout bounds a call to the store, which answers in a few ms.
 	storeTimeout = 600 * time.Millisecond
-	// forgetMember is how long a gateway without a link that is in no list any more is dialed. It covers a lease that the store has
-	// taken away from a living gateway.
+	// forgetMember is how long a gateway without a link that is in no list any more is dialed. It covers a lease that the
+	// store has taken away from a living gateway.
 	forgetMember = 20 * time.Second
 )
 
@@ -63,10 +63,9 @@
 	member  *member
 	gateway structs.GatewayRef // set by Resume, guarded by links.mu
 	link    *link.Link
-	closed  bool // guarded by links.mu
-	dropped bool // belongs to the loop
-	// sentState is the revision of the operator state that was sent; it belongs to the loop.
-	sentState uint64
+	closed  bool                  // guarded by links.mu
+	dropped bool                  // belongs to the loop
+	states  structs.StateExchange // belongs to the loop
 }
 
 func newLinks(a *Agent) *links {
@@ -219,7 +218,7 @@
 	case *structs.Stop:
 		a.room.Stop(now, c.gateway, m)
 	case *structs.OperatorState:
-		c.sentState = max(c.sentState, m.Revision)
+		c.states.Received(m.Revision)
 		a.learn(now, m)
 	case *structs.Beat:
 		c.links.learn(m.Members)
@@ -231,11 +230,9 @@
 // is away. It runs in the loop.
 func (c *conn) compare(revision uint64) {
 	state := c.links.agent.state
-	if revision >= state.Revision || c.sentState >= state.Revision {
-		return
+	if c.states.Due(state.Revision, revision) {
+		_ = c.link.Send(link.Control, structs.TypeOperatorState, &state) // a link that fails ends, and the next one compares
 	}
-	c.sentState = state.Revision
-	_ = c.link.Send(link.Control, structs.TypeOperatorState, &state)
 }
 
 func (l *links) register(c *conn, gateway structs.GatewayRef) {
--- a/internal/schedule/api.go
+++ b/internal/schedule/api.go
@@ -83,6 +83,22 @@
 	Objective time.Duration
 }
 
+// Messages of log lines by which package explain finds out what happened to a job. MessageEnded is that of the line that the
+// shell writes for an Answer.
+const (
+	MessagePlaced   = "tasks placed"
+	MessageCameBack = "task came back"
+	MessageMoved    = "moves a lagging task"
+	MessageEnded    = "job ended"
+)
+
+// Reasons of an Answer that package explain tells apart.
+const (
+	ReasonNoRoom     = "no room in time"
+	ReasonDeadline   = "deadline"
+	ReasonCallerLeft = "caller left"
+)
+
 // Note is a decision for the log. Fields that do not apply are zero.
 type Note struct {
 	Message string
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -254,7 +254,7 @@
 
 func (s *Scheduler) dispatchJob(j *job) {
 	if s.now >= j.limit {
-		s.end(j, OutcomeRefused, "deadline", 0)
+		s.end(j, OutcomeRefused, ReasonDeadline, 0)
 		return
 	}
 	late := s.now > j.startBy(s.fastest(j))
@@ -280,7 +280,7 @@
 		return
 	}
 	if late && !j.begun() {
-		s.end(j, OutcomeRefused, "no room in time", s.retryAfter())
+		s.end(j, OutcomeRefused, ReasonNoRoom, s.retryAfter())
 	}
 }
 
@@ -371,7 +371,7 @@
 		v.sentAt = s.now
 		s.actions = append(s.actions, p)
 		s.note(Note{
-			Message: "tasks placed", Job: m.Job, Agent: p.Agent, Server: v.report.Server, Tasks: len(m.Tasks), Expect: m.Expect,
+			Message: MessagePlaced, Job: m.Job, Agent: p.Agent, Server: v.report.Server, Tasks: len(m.Tasks), Expect: m.Expect,
 			Free: v.freeFor(m.Priority).CPU, Age: m.Age,
 		})
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -330,7 +330,7 @@
 	}
 	j.waiters = slices.Delete(j.waiters, at, at+1)
 	if len(j.waiters) == 0 && !j.ended {
-		s.end(j, OutcomeLost, "caller left", 0)
+		s.end(j, OutcomeLost, ReasonCallerLeft, 0)
 	}
 }
 
@@ -483,7 +483,7 @@
 	v, j, st := t.server, t.job, t.job.steps[t.step]
 	if e.Kind != structs.StartDone {
 		s.note(Note{
-			Message: "task came back", Job: j.spec.ID, Agent: v.id, Server: v.report.Server, Tasks: 1, Age: s.now - j.arrival,
+			Message: MessageCameBack, Job: j.spec.ID, Agent: v.id, Server: v.report.Server, Tasks: 1, Age: s.now - j.arrival,
 			Detail: e.Kind.String() + " task " + strconv.Itoa(t.step) + "." + strconv.Itoa(t.index) + " run " +
 				strconv.FormatUint(uint64(e.Run), 10),
 		})
@@ -622,7 +622,7 @@
 	t.moves++
 	t.avoid = v
 	s.note(Note{
-		Message: "moves a lagging task", Job: t.job.spec.ID, Agent: v.id,
+		Message: MessageMoved, Job: t.job.spec.ID, Agent: v.id,
 		Detail: "rest " + e.Remaining.String() + " there " + there.String(),
 	})
 	s.stop(t)
--- a/internal/structs/room_messages.go
+++ b/internal/structs/room_messages.go
@@ -206,6 +206,26 @@
 	ZonesOut []string
 }
 
+// StateExchange decides for one link when the newer operator state of one side goes to the other. The zero value is a new
+// link. It is not safe for concurrent use.
+type StateExchange struct {
+	// both is the newest revision that was sent or received on the link.
+	both uint64
+}
+
+// Received notes a state that the other side has sent.
+func (e *StateExchange) Received(revision uint64) { e.both = max(e.both, revision) }
+
+// Due reports whether to send the own state to the other side, which has named the revision that it knows, and notes that it
+// was sent.
+func (e *StateExchange) Due(own, other uint64) bool {
+	if other >= own || e.both >= own {
+		return false
+	}
+	e.both = own
+	return true
+}
+
 // Beat is sent on a link without other traffic.
 type Beat struct {
 	_        struct{} `cbor:",toarray"`
--- a/internal/telemetry/serve.go
+++ b/internal/telemetry/serve.go
@@ -30,10 +30,17 @@
 	if err != nil {
 		return fmt.Errorf("telemetry: listening: %w", err)
 	}
+	return ServeListener(ctx, server, listener)
+}
+
+// ServeListener serves until the context ends, then closes all connections. The listener may be closed before: open
+// connections are served on.
+func ServeListener(ctx context.Context, server *http.Server, listener net.Listener) error {
 	unhook := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer unhook()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("telemetry: serving %s: %w", server.Addr, err)
 	}
+	<-ctx.Done()
 	return ctx.Err()
 }
