--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -144,7 +144,7 @@
 	return ""
 }
 
-// SetServer takes the server's report about itself. A server that was born anew has lost all runs.
+// SetServer takes the server's report about itself. A server that was born anew has lost the runs of before.
 func (r *Room) SetServer(now time.Duration, s Server) {
 	r.advance(now)
 	old := r.server
