Lease: no run outlasts 1.2 s of its gateway's silence

Three more paths found by reading: a link that is reset late in a silence moved the last contact forward; a restarted agent renewed the lease of runs whose gateway it had not heard of; the deadline of a start was computed when it was sent, so a pause between decision and send moved it.

An end that has passed is not sent. Weighed: a lease of 0.35 s for all runs, which would lose work at each late list.

TestSilenceOfOneGatewaySparesTheOthers shows that the other runs keep their lease.

--- a/internal/platformagent/agent.go
+++ b/internal/platformagent/agent.go
@@ -125,7 +125,6 @@
 		switch action := action.(type) {
 		case supervisor.CallStart:
 			a.metrics.starts.Inc(1)
-			a.supervisor.LeaseRenewalSent(now)
 			go a.backend.start(action)
 		case supervisor.CallStop:
 			go a.backend.stop(action)
--- a/internal/platformagent/agent_test.go
+++ b/internal/platformagent/agent_test.go
@@ -1,6 +1,10 @@
 package platformagent
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -8,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"rosedrift.example/rosedrift/internal/structs"
+	"rosedrift.example/rosedrift/internal/supervisor"
 	"rosedrift.example/rosedrift/internal/telemetry"
 	"rosedrift.example/rosedrift/platform"
 )
@@ -39,7 +44,24 @@
 	a.backend.heartbeatReceived(platform.Heartbeat{ID: "new", StartTime: 20})
 	a.backend.setClock(500)
 	a.backend.heartbeatReceived(platform.Heartbeat{ID: "old", StartTime: 10})
-	server, deadline := a.backend.leaseDeadline()
+	server, deadline := a.backend.leaseDeadline(a.loop.Now())
 	require.Equal(t, "new", server)
 	require.NotZero(t, deadline, "the late heartbeat has discarded the server's clock")
 }
+
+// TestStartIsNotSentAfterItsLease guards against a process that was paused between the decision to start a run and the
+// request, and then starts the run under a new lease although its gateway has been given up.
+func TestStartIsNotSentAfterItsLease(t *testing.T) {
+	var starts atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { starts.Add(1) }))
+	defer server.Close()
+	a := New(Options{
+		Settings: platform.Settings{Name: "a", StoreAddress: "127.0.0.1:1", ServerAddress: strings.TrimPrefix(server.URL, "http://")},
+		Self:     structs.AgentRef{ID: "a", Incarnation: 1}, Logger: log.NewNopLogger(), Metrics: telemetry.NewMetrics("test", nil),
+	})
+	a.backend.setClock(500)
+	a.backend.start(supervisor.CallStart{RunRef: supervisor.RunRef{Task: "t", Run: 1}, LeaseEnd: a.loop.Now() - time.Millisecond})
+	require.Zero(t, starts.Load())
+	a.backend.start(supervisor.CallStart{RunRef: supervisor.RunRef{Task: "t", Run: 1}, LeaseEnd: a.loop.Now() + time.Minute})
+	require.EqualValues(t, 1, starts.Load())
+}
--- a/internal/platformagent/backend.go
+++ b/internal/platformagent/backend.go
@@ -10,6 +10,7 @@
 
 	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/store"
+	"rosedrift.example/rosedrift/internal/structs"
 	"rosedrift.example/rosedrift/internal/supervisor"
 	"rosedrift.example/rosedrift/platform"
 )
@@ -52,9 +53,10 @@
 	server    string
 	startTime int64
 	stored    storedReport
-	// clock is the server's clock in milliseconds as read at clockAt, 0 if it is not known.
+	// clock is the server's clock in milliseconds as read at clockAt, a time of the event loop's clock. It is 0 if it is
+	// not known.
 	clock   int64
-	clockAt time.Time
+	clockAt time.Duration
 	// cancelList cancels the request for the list that is in progress, nil if there is none.
 	cancelList context.CancelFunc
 	// listIsShort is set if that request has no wait.
@@ -162,24 +164,35 @@
 	}
 }
 
-// leaseDeadline returns the server to call, and on the server's clock the end of a lease that begins now. The deadline
-// is 0 while that clock is not known.
-func (c *backendClient) leaseDeadline() (server string, deadline int64) {
+// leaseDeadline returns the server to call, and on the server's clock the given time of the event loop's clock. The
+// deadline is 0 while the server's clock is not known.
+func (c *backendClient) leaseDeadline(end time.Duration) (server string, deadline int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.clock != 0 {
-		deadline = c.clock + time.Since(c.clockAt).Milliseconds() + c.agent.options.Settings.Bounds.RunLease.Milliseconds()
+		// The server's clock may have fallen behind since it was read.
+		age := c.agent.loop.Now() - c.clockAt
+		drift := time.Duration((structs.ClockDriftFactor - 1) * float64(age))
+		drift = min(drift, c.agent.options.Settings.Bounds.RunLease/2)
+		deadline = c.clock + (end - c.clockAt - drift).Milliseconds()
 	}
 	return c.server, deadline
 }
 
+// currentServer returns the server to call.
+func (c *backendClient) currentServer() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.server
+}
+
 // setClock stores the server's clock as read from a response.
 func (c *backendClient) setClock(clock int64) {
 	if clock == 0 {
 		return
 	}
 	c.mu.Lock()
-	c.clock, c.clockAt = clock, time.Now()
+	c.clock, c.clockAt = clock, c.agent.loop.Now()
 	c.mu.Unlock()
 }
 
@@ -187,10 +200,10 @@
 func (c *backendClient) start(action supervisor.CallStart) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	server, deadline := c.leaseDeadline()
+	server, deadline := c.leaseDeadline(action.LeaseEnd)
 	answer := platform.AnswerNone
 	var err error
-	if deadline != 0 {
+	if deadline != 0 && c.agent.loop.Now() < action.LeaseEnd {
 		var clock int64
 		answer, clock, err = c.client.Start(ctx, server, platform.StartRequest{
 			Task: action.Task, Run: action.Run, Payload: action.Payload, Deadline: deadline,
@@ -198,7 +211,9 @@
 		})
 		c.setClock(clock)
 	} else {
-		answer = platform.AnswerUnhealthy // without the server's clock there is no deadline, so nothing is sent
+		// Nothing is sent: without the server's clock there is no deadline, and a process that was paused must not
+		// start a run after its lease.
+		answer = platform.AnswerUnhealthy
 	}
 	if err != nil {
 		_ = level.Info(c.agent.logger).Log("msg", "start failed", "task", action.Task, "run", action.Run, "err", err)
@@ -215,7 +230,7 @@
 func (c *backendClient) stop(action supervisor.CallStop) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	server, _ := c.leaseDeadline()
+	server := c.currentServer()
 	answer, err := c.client.Stop(ctx, server, action.Task, action.Run, action.Token)
 	if err != nil {
 		_ = level.Info(c.agent.logger).Log("msg", "stop failed", "task", action.Task, "run", action.Run, "err", err)
@@ -286,8 +301,9 @@
 type listCall struct {
 	server  string
 	request platform.ListRunsRequest
-	// requestedAt is when the request was prepared.
+	// requestedAt is when the request was prepared, leaseEnd the end of the renewed lease or 0 if it is not renewed.
 	requestedAt time.Duration
+	leaseEnd    time.Duration
 	// suspect is set if the server is unresponsive or has left a call unanswered. The request then has no wait and a
 	// short timeout.
 	suspect bool
@@ -299,8 +315,7 @@
 // request names no server, so that whichever one runs answers it: the agent then learns early which runs an earlier
 // agent has left.
 func (c *backendClient) nextListCall() (listCall, bool) {
-	server, deadline := c.leaseDeadline()
-	call := listCall{server: server, request: platform.ListRunsRequest{Wait: listWait}}
+	call := listCall{request: platform.ListRunsRequest{Wait: listWait}}
 	ok := c.agent.loop.Call(func(now time.Duration) {
 		s := c.agent.supervisor
 		call.request.Token, call.request.SeenUpTo, call.requestedAt = s.Token(), s.LastEndNumber(), now
@@ -309,14 +324,16 @@
 		if s.HasStoppingRuns() {
 			call.request.Wait = listWaitStopping
 		}
-		if call.suspect || deadline == 0 || !call.repeat {
-			call.request.Wait = 0
-		}
-		if s.HasActiveRuns() && s.CanRenewLease() {
-			call.request.Deadline = deadline
-			s.LeaseRenewalSent(now)
-		}
+		call.leaseEnd = s.RenewLease(now)
 	})
+	server, deadline := c.leaseDeadline(call.leaseEnd)
+	call.server = server
+	if call.suspect || deadline == 0 || !call.repeat {
+		call.request.Wait = 0
+	}
+	if call.leaseEnd > 0 {
+		call.request.Deadline = deadline
+	}
 	return call, ok
 }
 
--- a/internal/schedule/simulation_property_test.go
+++ b/internal/schedule/simulation_property_test.go
@@ -140,3 +140,27 @@
 	}
 	require.Equal(t, 3*jobs, sim.completedRuns)
 }
+
+// TestResubmittedJobsOutliveFrozenGateways guards against two runs of one task after a gateway is frozen, its callers
+// lose their connections, and the agents of its tasks die at any time before the callers submit their jobs again
+// (soak seed 45).
+func TestResubmittedJobsOutliveFrozenGateways(t *testing.T) {
+	const step = 20 * time.Millisecond
+	for death := time.Duration(0); death < resubmitDelay; death += step {
+		sim := newSimulation(t, 2, 4, structs.Resources{CPU: 4000, MemoryMB: 1000})
+		sim.work = func(string) time.Duration { return 4 * time.Second }
+		job := testJob("0000000000000001", 4, structs.Resources{CPU: 2000, MemoryMB: 10})
+		job.Steps[0].Estimate = 4 * time.Second
+		c := sim.call(sim.gateways[0], job, testRoute(0))
+		sim.advance(100*time.Millisecond + death%(5*step))
+		require.Equal(t, 4, sim.started[c.job.ID])
+		sim.gateways[0].paused = true
+		c.disconnect(sim.gateways[1])
+		sim.advance(death)
+		for _, a := range sim.agents[:2] {
+			a.paused = true
+		}
+		sim.advance(3 * time.Second)
+		require.Greater(t, sim.started[c.job.ID], 4, "the job was started again")
+	}
+}
--- a/internal/schedule/simulation_test.go
+++ b/internal/schedule/simulation_test.go
@@ -415,7 +415,6 @@
 	for _, action := range a.machine.Flush(a.sim.now) {
 		switch action := action.(type) {
 		case supervisor.CallStart:
-			a.machine.LeaseRenewalSent(a.sim.now)
 			a.callStart(action)
 		case supervisor.CallStop:
 			a.callStop(action)
@@ -493,7 +492,7 @@
 	if a.zoneOut || a.draining {
 		a.sim.t.Fatalf("%v: start of %s after %s was told to accept no tasks", a.sim.now, action.Task, a.id)
 	}
-	deadline, token := a.sim.now-a.startedAt+runLease, action.Token
+	deadline, token := action.LeaseEnd-a.startedAt, action.Token
 	machine := a.machine
 	a.call(func() supervisor.Answer { return a.start(action.RunRef, deadline, token) },
 		func(answer supervisor.Answer) { machine.StartAnswered(a.sim.now, action.RunRef, answer) })
@@ -530,10 +529,7 @@
 	requestedAt, lastEnd, machine, token, incarnation := a.sim.now, a.machine.LastEndNumber(), a.machine,
 		a.machine.Token(), a.incarnation
 	startTime := a.startTime
-	renew := machine.CanRenewLease()
-	if renew {
-		machine.LeaseRenewalSent(a.sim.now)
-	}
+	lease := machine.RenewLease(a.sim.now)
 	done := false
 	a.sim.after(timeout, func() {
 		if !done && a.incarnation == incarnation {
@@ -546,9 +542,7 @@
 		if a.down || done || a.startTime != startTime || !a.accept(token) {
 			return
 		}
-		if renew {
-			a.lease = max(a.lease, requestedAt+runLease)
-		}
+		a.lease = max(a.lease, lease)
 		list := supervisor.RunList{StartTime: a.startTime, RequestedAt: requestedAt}
 		for ref := range a.runs {
 			list.Running = append(list.Running, supervisor.ListedRun{RunRef: ref, Percent: a.progress(ref)})
--- a/internal/supervisor/api.go
+++ b/internal/supervisor/api.go
@@ -89,6 +89,9 @@
 	Payload string
 	// Token is the fencing token of the request.
 	Token uint64
+	// LeaseEnd is the end of the lease that the request carries, on the clock of the inputs. The request must not be
+	// sent later, and a delay before it is sent must not move the end.
+	LeaseEnd time.Duration
 }
 
 // CallStop asks the I/O layer to stop a run at the server and to pass the answer to StopAnswered.
@@ -143,6 +146,10 @@
 	// full structs.GatewayTimeout: a link that was reset is re-established sooner, since a dial takes two round
 	// trips of a few ms.
 	reconnectGrace = 400 * time.Millisecond
+	// maxSilence is how long after the last message of a gateway the lease of its runs may last. Together with the time
+	// to place a task anew it is shorter than the time after which callers that have lost their connection submit a job
+	// again, 1.3 s on the users' platform. So a run ends in time even if its agent dies before it stops the run.
+	maxSilence = 1200 * time.Millisecond
 	// ReportInterval, multiplied by the number of linked gateways, is the shortest time between resource reports to one
 	// gateway that carry no event. So an agent sends at most 333 of them a second, whatever the number of gateways.
 	ReportInterval = 3 * time.Millisecond
--- a/internal/supervisor/flush.go
+++ b/internal/supervisor/flush.go
@@ -80,6 +80,9 @@
 	if s.server == nil || s.now < s.startsPausedUntil {
 		return
 	}
+	if len(s.queue) > 0 && s.leaseLimit() <= s.now {
+		return // the lease of a start would prolong a run that must end
+	}
 	for i := 0; i < len(s.queue); {
 		run := s.queue[i]
 		if s.server.Capacity.Sub(s.usedResources).Covers(run.need) && !s.hasActiveRun(run.Task) {
@@ -106,7 +109,9 @@
 	run.state, run.startedAt = starting, s.now
 	s.activate(run)
 	s.usedResources = s.usedResources.Add(run.need)
-	s.actions = append(s.actions, CallStart{RunRef: run.RunRef, Payload: run.payload, Token: s.token})
+	s.actions = append(s.actions, CallStart{
+		RunRef: run.RunRef, Payload: run.payload, Token: s.token, LeaseEnd: s.grantLease(),
+	})
 }
 
 // returnOverdueRuns returns queued runs that did not start within the time that their gateway has set.
@@ -281,7 +286,7 @@
 		sooner(s.claimDeadline)
 	}
 	if s.unresponsive && (len(s.activeRuns) > 0 || !s.reconciled) {
-		sooner(s.leaseEnd())
+		sooner(s.leaseEnd)
 	}
 	return max(wake, s.now)
 }
--- a/internal/supervisor/gateways.go
+++ b/internal/supervisor/gateways.go
@@ -18,8 +18,8 @@
 type gateway struct {
 	ref    structs.GatewayRef
 	linked bool
-	// lastContact is when the last message arrived. The end of a link sets it to leave reconnectGrace until the
-	// timeout.
+	// lastContact is when the last message arrived. The end of a link sets it back to leave at most reconnectGrace until
+	// the timeout.
 	lastContact time.Duration
 	// ack is the sequence number of the last Place message, which resource reports acknowledge.
 	ack             uint64
@@ -118,7 +118,7 @@
 	}
 	ref := RunRef{Task: s.options.TaskName(t.Job, t.Step, t.Index), Run: t.Run}
 	if found := s.findUnclaimedRun(ref); found != nil {
-		found.gateway, found.id, found.need = g, t.ID, t.Need
+		found.gateway, found.id, found.need, found.stopBy = g, t.ID, t.Need, 0
 		g.runs[t.ID] = found
 		s.usedResources = s.usedResources.Add(t.Need)
 		s.log(LogEntry{Message: "run claimed", Task: ref.Task, Run: found.Run, Gateway: g.ref})
@@ -165,7 +165,7 @@
 	s.advance(now)
 	if g := s.gateways[ref]; g != nil && g.linked {
 		g.linked = false
-		g.lastContact = s.now - structs.GatewayTimeout + reconnectGrace
+		g.lastContact = min(g.lastContact, s.now-structs.GatewayTimeout+reconnectGrace)
 	}
 }
 
@@ -285,6 +285,7 @@
 	}
 	if run.state != stopping {
 		run.state, run.endKind, run.nextStopAt = stopping, structs.PlacementLost, s.now
+		run.stopBy = s.now + maxSilence
 	}
 }
 
--- /dev/null
+++ b/internal/supervisor/lease_test.go
@@ -0,0 +1,100 @@
+package supervisor
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// resubmitDelay is when callers on the users' platform submit a job again after they have lost their connection.
+const resubmitDelay = 1300 * time.Millisecond
+
+// TestRunsEndBeforeTheJobIsSubmittedAgain guards against a run that still has its lease when its caller submits the job
+// again through another gateway. The gateway is frozen at time 0, which is when its callers lose their connections, and
+// the agent dies at any later time: it does not renew the lease any more, and does not stop anything.
+func TestRunsEndBeforeTheJobIsSubmittedAgain(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault func(h *harness, silence time.Duration)
+	}{
+		{"frozen", func(*harness, time.Duration) {}},
+		{"link reset later", func(h *harness, silence time.Duration) {
+			if silence == 850*time.Millisecond {
+				h.supervisor.GatewayUnlinked(h.now, h.gateway)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.place("j", 1, 2, nil)
+			h.answerStarts(AnswerOK)
+			running := []ListedRun{{RunRef: RunRef{Task: "j00", Run: 1}}, {RunRef: RunRef{Task: "j01", Run: 1}}}
+			h.supervisor.RecordContact(h.now, h.gateway)
+			frozen, lease := h.now, h.now+maxLease(time.Second)
+			for silence := time.Duration(0); silence < 2*resubmitDelay; silence += time.Millisecond {
+				h.now = frozen + silence
+				c.fault(h, silence)
+				h.flush()
+				if h.now >= lease {
+					running = nil
+				}
+				if end := h.supervisor.RenewLease(h.now); end > 0 && len(running) > 0 {
+					lasts := time.Duration(structs.ClockDriftFactor * float64(end-h.now))
+					require.Less(t, silence+lasts, resubmitDelay, "the agent dies after %v of silence", silence)
+					lease = h.now + lasts
+				}
+				h.supervisor.HandleList(h.now, RunList{StartTime: 10, RequestedAt: h.now, Running: running})
+			}
+			require.NotEmpty(t, h.stops)
+		})
+	}
+}
+
+// TestRestartedAgentKeepsLeasesUntilTheyAreClaimed guards against a restarted agent that prolongs the runs of a gateway
+// which may have been silent for long.
+func TestRestartedAgentKeepsLeasesUntilTheyAreClaimed(t *testing.T) {
+	h := newHarness(t)
+	h.supervisor = New(h.now, h.supervisor.options)
+	h.supervisor.SetServer(h.now, Server{ID: "s", StartTime: 10, Service: "svc", Capacity: structs.Resources{CPU: 4000}})
+	found := ListedRun{RunRef: RunRef{Task: "j00", Run: 1}}
+	h.supervisor.HandleList(h.now, RunList{StartTime: 10, RequestedAt: h.now, Running: []ListedRun{found}})
+	require.Zero(t, h.supervisor.RenewLease(h.now))
+	h.supervisor.GatewayLinked(h.now, &structs.Resume{Gateway: h.gateway, Tasks: []structs.ResumedTask{{ID: 7, Job: "j", Run: 1}}})
+	require.Equal(t, h.now+time.Second, h.supervisor.RenewLease(h.now))
+}
+
+// TestSilenceOfOneGatewaySparesTheOthers guards against runs of a healthy gateway that lose their lease because another
+// gateway is silent.
+func TestSilenceOfOneGatewaySparesTheOthers(t *testing.T) {
+	h := newHarness(t)
+	other := structs.GatewayRef{ID: "other", Incarnation: 1}
+	h.supervisor.GatewayLinked(h.now, &structs.Resume{Gateway: other})
+	h.place("j", 1, 1, nil)
+	h.supervisor.Place(h.now, other, &structs.Place{
+		Seq: 1, Job: "k", Need: structs.Resources{CPU: 1000}, Tasks: []structs.PlacedTask{{ID: 1, Run: 1}},
+	})
+	h.flush()
+	h.answerStarts(AnswerOK)
+	running := []ListedRun{{RunRef: RunRef{Task: "k00", Run: 1}}, {RunRef: RunRef{Task: "j00", Run: 1}}}
+	lease := h.now
+	for end := h.now + 3*time.Second; h.now < end; h.now += 20 * time.Millisecond {
+		h.supervisor.RecordContact(h.now, other)
+		h.flush()
+		for _, ref := range h.stops {
+			h.supervisor.StopAnswered(h.now, ref, AnswerOK)
+			running = running[:1]
+		}
+		h.stops = nil
+		h.supervisor.HandleList(h.now, RunList{StartTime: 10, RequestedAt: h.now, Running: running})
+		if renewed := h.supervisor.RenewLease(h.now); renewed > 0 {
+			lease = renewed
+		}
+		require.Greater(t, lease, h.now, "the lease of all runs has expired")
+	}
+	kinds := slices.DeleteFunc(h.takeEventKinds(), func(k structs.PlacementEventKind) bool { return k == structs.PlacementStraggling })
+	require.Equal(t, []structs.PlacementEventKind{structs.PlacementLost}, kinds)
+}
--- a/internal/supervisor/runs.go
+++ b/internal/supervisor/runs.go
@@ -103,16 +103,6 @@
 	run.nextStopAt = s.now + StopRetryInterval
 }
 
-// LeaseRenewalSent must be called when a call is sent that may renew the lease of all runs.
-func (s *Supervisor) LeaseRenewalSent(now time.Duration) {
-	s.advance(now)
-	s.leaseRenewedAt = s.now
-}
-
-// CanRenewLease reports whether the next list request may renew the lease. While the server is unresponsive it must
-// not, so that the runs are certain to have ended one lease after the last renewal.
-func (s *Supervisor) CanRenewLease() bool { return !s.unresponsive }
-
 // ServerUnresponsive reports whether the server does not answer.
 func (s *Supervisor) ServerUnresponsive() bool { return s.unresponsive }
 
@@ -141,7 +131,7 @@
 
 // expireLease ends the runs of an unresponsive server once their lease has expired.
 func (s *Supervisor) expireLease() {
-	if !s.unresponsive || s.now < s.leaseEnd() {
+	if !s.unresponsive || s.now < s.leaseEnd {
 		return
 	}
 	s.reconcile()
@@ -171,14 +161,6 @@
 // Reconciled reports whether it is known which runs an earlier agent has left.
 func (s *Supervisor) Reconciled() bool { return s.reconciled }
 
-// leaseEnd returns when the leases of all runs have certainly expired.
-func (s *Supervisor) leaseEnd() time.Duration { return s.leaseRenewedAt + s.maxLease() }
-
-// maxLease returns the longest time that a lease, or the deadline of a start, can last by the agent's clock.
-func (s *Supervisor) maxLease() time.Duration {
-	return time.Duration(structs.ClockDriftFactor * float64(s.options.RunLease))
-}
-
 // HandleList handles the server's list of its runs.
 func (s *Supervisor) HandleList(now time.Duration, list RunList) {
 	s.advance(now)
@@ -200,7 +182,7 @@
 	present := make(map[RunRef]bool, len(list.Running))
 	for _, l := range list.Running {
 		present[l.RunRef] = true
-		s.handleListedRun(l)
+		s.handleListedRun(l, list.RequestedAt)
 	}
 	s.reconcile()
 	for _, run := range s.sortedActiveRuns() {
@@ -250,15 +232,20 @@
 
 // handleListedRun handles a run that the server shows. During the startup of the agent, an unknown run is kept until
 // a gateway claims it. Later it is stopped, since it was left by an earlier agent or started with a delay.
-func (s *Supervisor) handleListedRun(l ListedRun) {
+func (s *Supervisor) handleListedRun(l ListedRun, requestedAt time.Duration) {
 	run := s.activeRuns[l.RunRef]
 	if run != nil {
+		if run.lapsed && requestedAt >= s.leaseEnd {
+			s.log(LogEntry{Message: "run outlasted its lease", Task: l.Task, Run: l.Run})
+			run.lapsed, s.leaseEnd = false, s.now+maxLease(s.options.RunLease)
+		}
 		if run.fenced {
 			run.fenced, run.stopConfirmed, run.nextStopAt = false, false, s.now
 		}
 		s.checkProgress(run, l.Percent)
 		return
 	}
+	// The time of the last contact with its gateway is not known. Its lease is not renewed until a gateway claims it.
 	run = newFoundRun(l.RunRef, s.now)
 	if s.now >= s.claimDeadline {
 		run.state, run.endKind, run.nextStopAt = stopping, structs.PlacementLost, s.now
@@ -271,6 +258,7 @@
 // end.
 func (s *Supervisor) adopt(run *run) {
 	s.activate(run)
+	s.leaseEnd = max(s.leaseEnd, s.now+maxLease(s.options.RunLease))
 	s.highestRuns[run.Task] = usedRunNumber{run: max(run.Run, s.highestRuns[run.Task].run), at: s.now}
 }
 
@@ -287,7 +275,7 @@
 }
 
 func newFoundRun(ref RunRef, now time.Duration) *run {
-	return &run{RunRef: ref, state: running, startedAt: now, confirmedAt: now, answered: true}
+	return &run{RunRef: ref, state: running, startedAt: now, confirmedAt: now, answered: true, stopBy: now}
 }
 
 // checkProgress reports a run as a straggler if it will take much longer than expected. The remaining time is
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -47,6 +47,10 @@
 	nextStopAt      time.Duration
 	stopConfirmed   bool
 	stopConfirmedAt time.Duration
+	// lapsed is set once the lease of the run has certainly expired, so that later leases cannot prolong it.
+	lapsed bool
+	// stopBy limits the lease of a run that is being stopped, or of one that was found.
+	stopBy time.Duration
 	// fenced is set if raising the token replaced a stop. If a later list still shows the run, a stop is sent.
 	fenced bool
 	// endKind is the kind of event that the gateway gets once a stopping run has ended.
@@ -65,10 +69,10 @@
 	// While zoneOut or shuttingDown is set, no task is accepted.
 	zoneOut      bool
 	shuttingDown bool
-	// unresponsive is set while the server does not answer. leaseRenewedAt is when the last call was sent that may
-	// have renewed the lease of the runs.
-	unresponsive   bool
-	leaseRenewedAt time.Duration
+	// unresponsive is set while the server does not answer. leaseEnd is when the leases of all runs have certainly
+	// expired, by the agent's clock.
+	unresponsive bool
+	leaseEnd     time.Duration
 	// reconciled is set once it is known which runs an earlier agent has left. Before that, gateways get no answers
 	// about their tasks.
 	reconciled bool
@@ -118,7 +122,7 @@
 		token:         options.Token,
 		claimDeadline: now + ClaimTimeout,
 		// An earlier agent may have renewed the lease just before this one was started.
-		leaseRenewedAt: now,
+		leaseEnd: now + maxLease(options.RunLease),
 	}
 }
 
@@ -283,6 +287,7 @@
 		}
 	}
 	s.now = max(s.now, now)
+	s.markLapsed()
 }
 
 func (s *Supervisor) log(e LogEntry) { s.actions = append(s.actions, e) }
