Agent: repeat a lost write of the server's report, remove the report of a server that has left

Change: one goroutine compares the last report with the stored one and repeats writes with backoff (report.go); a deregistration removes the report.

--- a/internal/platformagent/agent.go
+++ b/internal/platformagent/agent.go
@@ -88,7 +88,7 @@
 	_ = level.Info(a.logger).Log("msg", "agent started", "agent", a.options.Self, "zone", a.options.Settings.Zone,
 		"server", a.options.Settings.ServerAddress, "token", a.options.Token)
 	workers := []func(context.Context) error{
-		a.loop.Run, a.serveHeartbeats, a.backend.run, a.links.run,
+		a.loop.Run, a.serveHeartbeats, a.backend.run, a.backend.storeReports, a.links.run,
 		func(ctx context.Context) error {
 			return telemetry.ServeMetrics(ctx, a.options.MetricsListen, a.options.Metrics)
 		},
@@ -229,8 +229,7 @@
 
 // deregister handles the request by which the backend server reports its end.
 func (a *Agent) deregister(w http.ResponseWriter, r *http.Request) {
-	id := r.PathValue("id")
-	a.loop.Post(func(now time.Duration) { a.supervisor.ServerDeregistered(now, id) })
+	a.backend.serverLeft(r.PathValue("id"))
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write([]byte("{}"))
 }
--- a/internal/platformagent/agent_test.go
+++ b/internal/platformagent/agent_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"rosedrift.example/rosedrift/internal/standin"
 	"rosedrift.example/rosedrift/internal/structs"
 	"rosedrift.example/rosedrift/internal/supervisor"
 	"rosedrift.example/rosedrift/internal/telemetry"
@@ -65,3 +66,30 @@
 	a.backend.start(supervisor.CallStart{RunRef: supervisor.RunRef{Task: "t", Run: 1}, LeaseEnd: a.loop.Now() + time.Minute})
 	require.EqualValues(t, 1, starts.Load())
 }
+
+// TestLostReportIsStoredAgain guards against a server whose last report is not in the store because one write was lost:
+// an agent that starts later would wait for a heartbeat.
+func TestLostReportIsStoredAgain(t *testing.T) {
+	kv := standin.NewStore(1)
+	defer kv.Close()
+	server := httptest.NewServer(kv.Handler())
+	defer server.Close()
+	a := New(Options{
+		Settings: platform.Settings{Name: "a", StoreAddress: strings.TrimPrefix(server.URL, "http://"), ServerAddress: "127.0.0.1:1"},
+		Self:     structs.AgentRef{ID: "a", Incarnation: 1}, Logger: log.NewNopLogger(), Metrics: telemetry.NewMetrics("test", nil),
+	})
+	go func() { _ = a.backend.storeReports(t.Context()) }()
+	stored := func() bool {
+		_, err := kv.Get(t.Context(), platform.ServerPrefix+"a")
+		return err == nil
+	}
+	kv.SetFaults(standin.StoreFaults{Outage: true})
+	a.backend.heartbeatReceived(platform.Heartbeat{ID: "s", StartTime: 10})
+	time.Sleep(2 * minReportWriteDelay)
+	kv.SetFaults(standin.StoreFaults{})
+	require.Eventually(t, stored, 5*time.Second, 10*time.Millisecond)
+	a.backend.serverLeft("s")
+	require.Eventually(t, func() bool { return !stored() }, 5*time.Second, 10*time.Millisecond, "the server has left")
+	a.backend.heartbeatReceived(platform.Heartbeat{ID: "s", StartTime: 10})
+	require.False(t, a.backend.hasServer(), "a late heartbeat of a server that has left")
+}
--- a/internal/platformagent/backend.go
+++ b/internal/platformagent/backend.go
@@ -9,7 +9,6 @@
 	"github.com/go-kit/log/level"
 
 	"rosedrift.example/rosedrift/internal/ctxtime"
-	"rosedrift.example/rosedrift/internal/store"
 	"rosedrift.example/rosedrift/internal/structs"
 	"rosedrift.example/rosedrift/internal/supervisor"
 	"rosedrift.example/rosedrift/platform"
@@ -33,10 +32,6 @@
 	listRetryDelay = 20 * time.Millisecond
 	// serverConnections bounds the connections to the server: one for the long poll, the others for starts and stops.
 	serverConnections = 32
-	// reportReadTries and reportReadDelay let the agent try for about one heartbeat interval to read the last report
-	// from a store that is unavailable.
-	reportReadTries = 8
-	reportReadDelay = 150 * time.Millisecond
 )
 
 // backendClient calls the backend server and tracks its incarnation, clock and runs.
@@ -45,6 +40,8 @@
 	client *platform.ServerClient
 	// wake makes run request the list of runs.
 	wake chan struct{}
+	// reportChanged makes storeReports compare the last report with the one in the store.
+	reportChanged chan struct{}
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -52,7 +49,14 @@
 	// known.
 	server    string
 	startTime int64
-	stored    storedReport
+	// stored describes the report that is in the store, unstored is a newer one that must replace it or nil. With remove
+	// set, the report must be removed because its server has left.
+	stored   storedReport
+	unstored *platform.Heartbeat
+	remove   bool
+	// left is the last server that has deregistered, with its start time. Later heartbeats of it are late ones.
+	left          string
+	leftStartTime int64
 	// clock is the server's clock in milliseconds as read at clockAt, a time of the event loop's clock. It is 0 if it is
 	// not known.
 	clock   int64
@@ -63,44 +67,11 @@
 	listIsShort bool
 }
 
-// storedReport identifies the report in the store. A heartbeat that differs in these fields replaces it.
-type storedReport struct {
-	server    string
-	startTime int64
-	draining  bool
-}
-
 func newBackendClient(a *Agent) *backendClient {
 	return &backendClient{
 		agent:  a,
 		client: platform.NewServerClient(a.options.Settings.ServerAddress, serverConnections),
-		wake:   make(chan struct{}, 1),
-	}
-}
-
-// restoreReport reads the last heartbeat that an earlier agent has written to the store. The agent uses it until the
-// first heartbeat arrives, which may take a whole interval. If the server has ended since, calls with its ID fail.
-func (c *backendClient) restoreReport(ctx context.Context) {
-	for range reportReadTries {
-		entry, err := c.agent.links.store.Get(ctx, c.reportKey())
-		if store.IsKind(err, store.KindNotFound) || c.hasServer() {
-			return
-		}
-		if err != nil {
-			_ = level.Info(c.agent.logger).Log("msg", "reading the last server report failed", "err", err)
-			ctxtime.Sleep(ctx, reportReadDelay)
-			continue
-		}
-		report, err := platform.ParseReport(entry.Value)
-		if err != nil || report.Address != c.agent.options.Settings.ServerAddress {
-			_ = level.Info(c.agent.logger).Log("msg", "last server report ignored", "err", err)
-			return
-		}
-		if !c.hasServer() {
-			_ = level.Info(c.agent.logger).Log("msg", "using the last server report", "server", report.ID)
-			c.heartbeatReceived(report)
-		}
-		return
+		wake:   make(chan struct{}, 1), reportChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -111,20 +82,6 @@
 	return c.server != ""
 }
 
-// reportKey returns the key of the server report in the store.
-func (c *backendClient) reportKey() string {
-	return platform.ServerPrefix + c.agent.options.Settings.Name
-}
-
-// storeReport writes a heartbeat to the store. If that fails, the next agent has to wait for a heartbeat.
-func (c *backendClient) storeReport(heartbeat platform.Heartbeat) {
-	ctx, cancel := context.WithTimeout(context.Background(), platform.DefaultCallTimeout)
-	defer cancel()
-	if _, err := c.agent.links.store.Put(ctx, c.reportKey(), platform.EncodeReport(heartbeat), store.AnyVersion, 0); err != nil {
-		_ = level.Info(c.agent.logger).Log("msg", "storing the server report failed", "err", err)
-	}
-}
-
 // heartbeatReceived passes a heartbeat of the server to the supervisor. A server that has restarted is called at once,
 // so that it has the fencing token before a late request of an earlier agent can reach it.
 func (c *backendClient) heartbeatReceived(heartbeat platform.Heartbeat) {
@@ -134,11 +91,16 @@
 		c.requestList() // most likely a late heartbeat of an earlier incarnation; the server's list shows which one runs
 		return
 	}
+	if heartbeat.ID == c.left && heartbeat.StartTime <= c.leftStartTime {
+		c.mu.Unlock()
+		return // sent before the server left
+	}
 	changed := c.server != heartbeat.ID || c.startTime != heartbeat.StartTime
 	c.server, c.startTime = heartbeat.ID, heartbeat.StartTime
-	previous := c.stored
-	c.stored = storedReport{server: heartbeat.ID, startTime: heartbeat.StartTime, draining: heartbeat.Draining}
-	write := previous != c.stored
+	c.unstored, c.remove = nil, false
+	if c.stored != describeReport(heartbeat) {
+		c.unstored = &heartbeat
+	}
 	if changed {
 		c.clock = 0
 	}
@@ -151,9 +113,7 @@
 	if changed {
 		c.requestList()
 	}
-	if write {
-		go c.storeReport(heartbeat)
-	}
+	c.signalReportChanged()
 }
 
 // requestList makes run request the list of runs, now or after the request in progress.
@@ -261,6 +221,20 @@
 	return supervisor.AnswerUnhealthy
 }
 
+// serverLeft handles the deregistration of a server. Its report is removed from the store, so that an agent that starts
+// later does not use it.
+func (c *backendClient) serverLeft(id string) {
+	c.mu.Lock()
+	if c.server == id {
+		c.left, c.leftStartTime = id, c.startTime
+		c.server, c.startTime, c.clock = "", 0, 0
+		c.unstored, c.remove = nil, true
+	}
+	c.mu.Unlock()
+	c.signalReportChanged()
+	c.agent.loop.Post(func(now time.Duration) { c.agent.supervisor.ServerDeregistered(now, id) })
+}
+
 // forgetServer forgets a server whose address now belongs to another one. The next heartbeat identifies that one.
 func (c *backendClient) forgetServer(server string) {
 	c.mu.Lock()
