Tests of the whole path: keep the ports of their processes reserved

Change: the test keeps a listener on each address for the whole test; gateway and agent get a duplicate of it through the option Listen, also after a restart. Ruled out: SO_REUSEPORT, which lets any other process of the same user share the port.

--- a/internal/platformagent/agent.go
+++ b/internal/platformagent/agent.go
@@ -31,6 +31,8 @@
 	Metrics *telemetry.Metrics
 	// MetricsListen is the address that serves the metrics. If it is empty, they are not served.
 	MetricsListen string
+	// Listen opens the listeners other than that of the metrics. nil means telemetry.ListenTCP.
+	Listen telemetry.ListenFunc
 }
 
 // shutdownShare is the fraction of the platform's stop grace period that a graceful shutdown may use to drain. The rest
@@ -70,6 +72,9 @@
 
 // New returns an agent that starts with Run.
 func New(options Options) *Agent {
+	if options.Listen == nil {
+		options.Listen = telemetry.ListenTCP
+	}
 	a := &Agent{options: options, logger: options.Logger, drained: make(chan struct{})}
 	a.loop = eventloop.New(a.performActions, func() time.Duration { return a.supervisor.NextWake() })
 	a.supervisor = supervisor.New(a.loop.Now(), supervisor.Options{
@@ -203,7 +208,7 @@
 		Addr: a.options.Settings.HeartbeatAddress, Handler: mux,
 		ReadHeaderTimeout: heartbeatReadTimeout, ReadTimeout: heartbeatReadTimeout, IdleTimeout: time.Minute,
 	}
-	return telemetry.ServeHTTP(ctx, server)
+	return telemetry.ServeHTTP(ctx, server, a.options.Listen)
 }
 
 // heartbeatReadTimeout bounds the time to read a heartbeat request. The server waits one second for the response.
--- a/internal/platformgateway/gateway.go
+++ b/internal/platformgateway/gateway.go
@@ -32,6 +32,8 @@
 	Metrics  *telemetry.Metrics
 	// MetricsListen is the address that serves the metrics, or empty for none.
 	MetricsListen string
+	// Listen opens the listeners other than that of the metrics. nil means telemetry.ListenTCP.
+	Listen telemetry.ListenFunc
 }
 
 // Times of a graceful shutdown.
@@ -94,6 +96,9 @@
 
 // New returns a gateway that has not been started.
 func New(options Options) *Gateway {
+	if options.Listen == nil {
+		options.Listen = telemetry.ListenTCP
+	}
 	g := &Gateway{options: options, logger: options.Logger}
 	g.loop = eventloop.New(g.performActions, func() time.Duration { return g.scheduler.NextWake() })
 	s := options.Settings
@@ -130,7 +135,7 @@
 
 // serveCallers serves the callers until ctx ends. A graceful shutdown closes the listener before the connections.
 func (g *Gateway) serveCallers(ctx context.Context) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", g.callerServer.Addr)
+	listener, err := g.options.Listen(ctx, g.callerServer.Addr)
 	if err != nil {
 		return fmt.Errorf("platformgateway: listening: %w", err)
 	}
@@ -248,7 +253,7 @@
 		}
 	})
 	server := &http.Server{Addr: g.options.Settings.ReadinessAddress, Handler: mux, ReadHeaderTimeout: headerTimeout}
-	return telemetry.ServeHTTP(ctx, server)
+	return telemetry.ServeHTTP(ctx, server, g.options.Listen)
 }
 
 // ready reports whether the gateway accepts new connections: the configuration is known, at least one server accepts
@@ -262,7 +267,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+link.PathAgent, g.agents.accept)
 	server := &http.Server{Addr: g.options.Settings.LinkAddress, Handler: mux, ReadHeaderTimeout: headerTimeout}
-	err := telemetry.ServeHTTP(ctx, server)
+	err := telemetry.ServeHTTP(ctx, server, g.options.Listen)
 	g.agents.closeAll()
 	return err
 }
--- a/internal/telemetry/serve.go
+++ b/internal/telemetry/serve.go
@@ -22,13 +22,21 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+MetricsPath, metrics)
 	const readTimeout = 5 * time.Second // a scraper sends a single short request
-	return ServeHTTP(ctx, &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: readTimeout})
+	return ServeHTTP(ctx, &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: readTimeout}, ListenTCP)
 }
 
-// ServeHTTP listens at server.Addr and serves until the context ends; then it closes all connections. It returns the
+// ListenFunc opens a listener at an address (host:port).
+type ListenFunc func(ctx context.Context, address string) (net.Listener, error)
+
+// ListenTCP is the ListenFunc for TCP.
+func ListenTCP(ctx context.Context, address string) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+}
+
+// ServeHTTP listens at server.Addr by listen and serves until the context ends; then it closes all connections. It returns the
 // error of the context, or the reason why it cannot listen or serve.
-func ServeHTTP(ctx context.Context, server *http.Server) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", server.Addr)
+func ServeHTTP(ctx context.Context, server *http.Server, listen ListenFunc) error {
+	listener, err := listen(ctx, server.Addr)
 	if err != nil {
 		return fmt.Errorf("telemetry: listen: %w", err)
 	}
