Server health: the agent learns it from the runs of all gateways, and repeats unanswered starts

A start that the server did not answer was noticed after 60 ms and started elsewhere after its stop: too late for tasks of 60 ms, and at 6 lost calls in 100 two of five jobs of 8 tasks meet one.

Change: package supervisor keeps the slowness (robust moving average, jumps after two runs of different jobs, recovers when idle) and a circuit breaker of the server (runs that stand still while nothing on the server advances, five failed jobs in a row, refused starts); a suspended server asks one gateway after the other for a single task. The progress of a run is checked once after 30% of its expected time, and lists wait no longer than that. Starts are repeated after 12 ms with the same run number, which the server carries out once. Gateways take the slowness from a new message that older builds ignore, and their own breakers and averages are gone.

--- a/internal/platformagent/backend.go
+++ b/internal/platformagent/backend.go
@@ -298,6 +298,7 @@
 		if s.HasStoppingRuns() {
 			call.request.Wait = listWaitStopping
 		}
+		call.request.Wait = min(call.request.Wait, s.ListWait(now, listWait))
 		call.leaseEnd = s.RenewLease(now)
 	})
 	server, deadline := c.leaseDeadline(call.leaseEnd)
--- a/internal/platformgateway/agents.go
+++ b/internal/platformgateway/agents.go
@@ -62,6 +62,8 @@
 		return &structs.ServerReport{}
 	case structs.TypeResourceReport:
 		return &structs.ResourceReport{}
+	case structs.TypeServerHealth:
+		return &structs.ServerHealth{}
 	case structs.TypePlacementEvents:
 		return &structs.PlacementEvents{}
 	case structs.TypeOperatorState:
@@ -91,6 +93,8 @@
 	switch m := message.(type) {
 	case *structs.ResourceReport:
 		g.scheduler.HandleResourceReport(now, c.agent.ID, m)
+	case *structs.ServerHealth:
+		g.scheduler.HandleServerHealth(now, c.agent.ID, m)
 	case *structs.PlacementEvents:
 		g.scheduler.HandlePlacementEvents(now, c.agent.ID, m)
 	case *structs.OperatorState:
--- a/internal/schedule/api.go
+++ b/internal/schedule/api.go
@@ -151,22 +151,14 @@
 	// minMoveGain is how much sooner a straggler must be expected to end on another server to be moved. It covers the
 	// stop of the old run (50 ms on the users' platform) and the round trips.
 	minMoveGain = 100 * time.Millisecond
-	// serverRetention is how long a server without a link stays known, with its learned slowness. VMs are replaced
+	// serverRetention is how long a server without a link stays known. VMs are replaced
 	// every day.
 	serverRetention = time.Minute
+	// slowedServer is the rise of the logarithm of a server's slowness since a placement above which the server is the
+	// cause of a straggler.
+	slowedServer = 0.7
+	// maxLogSlowness bounds the logarithm of a server's slowness. exp(3) is a factor of 20.
+	maxLogSlowness = 3
 	// maxMoves bounds the moves of one task, so that a task with a lot of work eventually runs to its end.
 	maxMoves = 2
 )
-
-// Circuit breakers and pauses of servers.
-const (
-	// breakerFailures is the number of consecutive failures, each in a different job, that opens the breaker of a
-	// server. One task in 500 fails by itself, so three in a row point to the server.
-	breakerFailures = 3
-	// probeInterval is the time between tasks sent to a server with an open breaker.
-	probeInterval = time.Second
-	// unhealthyPause is how long a server gets no tasks after it has refused or not answered a start. The pause
-	// doubles with each further one, up to unhealthyPauseMax.
-	unhealthyPause    = 50 * time.Millisecond
-	unhealthyPauseMax = time.Second
-)
--- a/internal/schedule/estimate.go
+++ b/internal/schedule/estimate.go
@@ -16,17 +16,10 @@
 	// stepWaitWeight is the weight of the newest wait of a dependent step. It averages over about ten jobs, so that
 	// it follows the load.
 	stepWaitWeight = 0.1
-	// serverWeight is the weight of the newest observation of a server. It averages over about 12 tasks, under a
-	// second of work of one server, so that a server that turns slow is noticed while the others still have capacity.
-	serverWeight = 0.08
-	// priorSlownessSamples is the number of observations that the prior, a server of average speed, counts as.
-	priorSlownessSamples = 3
 	// priorSlopeSamples is the number of observations that priorSlope counts as. priorSlope is the slope of the run
 	// times over the callers' estimates if the errors of the estimates vary by the same factor as the work.
 	priorSlopeSamples = 20
 	priorSlope        = 0.5
-	// maxLogSlowness bounds the logarithm of a server's slowness. exp(3) is a factor of 20.
-	maxLogSlowness = 3
 )
 
 // runTimeModel predicts the run times and waits of one step of a route. It is a linear regression of the logarithm of
@@ -100,34 +93,6 @@
 	m.covariance += w * ((logEstimate-m.meanLogEstimate)*(logWork-m.meanLogRunTime) - m.covariance)
 }
 
-// slowness is the learned slowness of a server: the logarithm of the factor by which its run times exceed those of an
-// average server.
-type slowness struct {
-	sampleCount float64
-	logFactor   float64
-}
-
-// factor returns the factor by which run times on the server exceed those on an average server.
-func (s *slowness) factor() float64 { return math.Exp(s.logFactor) }
-
-// observe updates the slowness with a run time. average is the expected run time on an average server in
-// milliseconds.
-func (s *slowness) observe(runTime time.Duration, average float64) {
-	residual := logMillis(runTime) - math.Log(average)
-	s.sampleCount++
-	w := max(1/(s.sampleCount+priorSlownessSamples), serverWeight)
-	s.logFactor += w * (residual - s.logFactor)
-	s.logFactor = min(max(s.logFactor, -maxLogSlowness), maxLogSlowness)
-}
-
-// observeAtLeast updates the slowness with the elapsed time of a run that has not ended. Such a run can show only
-// that the server is slower than assumed.
-func (s *slowness) observeAtLeast(runTime time.Duration, average float64) {
-	if logMillis(runTime)-math.Log(average) > s.logFactor {
-		s.observe(runTime, average)
-	}
-}
-
 // logMillis returns the natural logarithm of a duration in milliseconds. Durations below 0.1 ms count as 0.1 ms.
 func logMillis(d time.Duration) float64 {
 	return math.Log(max(float64(d)/float64(time.Millisecond), 0.1))
--- a/internal/schedule/load_test.go
+++ b/internal/schedule/load_test.go
@@ -13,7 +13,7 @@
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
-// workload submits jobs at random times to 4 servers with capacity for 8 tasks each, so for 32 tasks at once.
+// workload submits jobs at random times to a simulated site.
 type workload struct {
 	sim           *simulation
 	random        *rand.Rand
@@ -23,13 +23,20 @@
 	lastJobNumber int
 	// meanLongWork is the mean run time of the tasks of class 1.
 	meanLongWork time.Duration
+	// need is what each task needs.
+	need structs.Resources
 }
 
+// newWorkload returns a workload for 4 servers with capacity for 8 tasks each, so for 32 tasks at once.
 func newWorkload(t *testing.T) *workload {
+	return newWorkloadFor(newSimulation(t, 3, 4, structs.Resources{CPU: 8000, MemoryMB: 1000}))
+}
+
+func newWorkloadFor(sim *simulation) *workload {
 	w := &workload{
-		sim: newSimulation(t, 3, 4, structs.Resources{CPU: 8000, MemoryMB: 1000}), random: rand.New(rand.NewPCG(1, 2)),
+		sim: sim, random: rand.New(rand.NewPCG(1, 2)),
 		submittedAt: map[string]time.Duration{}, work: map[string]time.Duration{}, classes: map[string]int{},
-		meanLongWork: 200 * time.Millisecond,
+		meanLongWork: 200 * time.Millisecond, need: structs.Resources{CPU: 1000, MemoryMB: 10},
 	}
 	w.sim.work = func(task string) time.Duration { return w.work[jobOf(task)] }
 	return w
@@ -41,10 +48,10 @@
 	w.lastJobNumber++
 	id := fmt.Sprintf("%016x", w.lastJobNumber)
 	w.work[id] = time.Duration(float64(mean) * math.Exp(0.4*w.random.NormFloat64()))
-	job := testJob(id, width, structs.Resources{CPU: 1000, MemoryMB: 10})
+	job := testJob(id, width, w.need)
 	job.Steps[0].Estimate = time.Duration(float64(w.work[id]) * math.Exp(0.4*w.random.NormFloat64()))
 	w.submittedAt[id], w.classes[id] = w.sim.now, priority
-	w.sim.call(w.sim.gateways[w.lastJobNumber%3], job, testRoute(priority))
+	w.sim.call(w.sim.gateways[w.lastJobNumber%len(w.sim.gateways)], job, testRoute(priority))
 }
 
 // run submits jobs for a time, at the given mean rates: short urgent ones of class 0 and long ones of class 1.
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -82,10 +82,6 @@
 // admits reports whether a server may get a task of a step now. It is the filter before candidates are ranked.
 func (s *Scheduler) admits(srv *server, st *step) bool {
 	switch {
-	case s.now < srv.pausedUntil:
-		return false
-	case srv.failures >= breakerFailures && s.now < srv.probeAt:
-		return false
 	case st.spec.Label != "" && !slices.Contains(srv.report.Labels, st.spec.Label):
 		return false
 	case st.perServer != nil && st.perServer[srv] >= st.spec.MaxPerServer:
@@ -132,7 +128,7 @@
 	if !ok {
 		return candidate{}, false
 	}
-	c := candidate{server: srv, wait: wait, run: millis(st.work * srv.slowness.factor())}
+	c := candidate{server: srv, wait: wait, run: millis(st.work * srv.slowness())}
 	c.offRack = st.spec.Rack != "" && !slices.Contains(srv.report.Labels, st.spec.Rack)
 	if c.offRack {
 		c.run = time.Duration(float64(c.run) * s.options.OffRackFactor)
@@ -306,7 +302,7 @@
 func (s *Scheduler) fastestRunTime(j *job) time.Duration {
 	factor := 1.0
 	for i, srv := range s.sortedServers {
-		if f := srv.slowness.factor(); i == 0 || f < factor {
+		if f := srv.slowness(); i == 0 || f < factor {
 			factor = f
 		}
 	}
@@ -340,16 +336,13 @@
 func (s *Scheduler) place(t *task, st *step, c candidate) {
 	srv := c.server
 	s.nextID++
-	t.id, t.server, t.state = s.nextID, srv, placed
+	t.id, t.server, t.state, t.placedSlowness = s.nextID, srv, placed, srv.logSlowness
 	st.pending--
 	t.job.placed++
 	srv.tasks[t.id], s.tasks[t.id] = t, t
 	if st.perServer != nil {
 		st.perServer[srv]++
 	}
-	if srv.failures >= breakerFailures {
-		srv.probeAt = s.now + probeInterval
-	}
 	need := st.spec.Need
 	placedTask := structs.PlacedTask{ID: t.id, Index: t.index, Run: t.nextRun}
 	for i := range s.placements {
@@ -430,9 +423,6 @@
 		switch {
 		case srv.linked:
 			wake = min(wake, srv.sentAt+s.heartbeatInterval(srv))
-			if len(s.queue) > 0 && srv.pausedUntil > s.now {
-				wake = min(wake, srv.pausedUntil)
-			}
 		case srv.tasksEndBy > 0:
 			wake = min(wake, srv.tasksEndBy)
 		}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -32,6 +32,8 @@
 	server *server
 	// stopping is set once the agent has been asked to stop the placement.
 	stopping bool
+	// placedSlowness is the logarithm of the server's slowness as it was known at the placement.
+	placedSlowness float64
 	// moves counts how often the task was moved as a straggler.
 	moves int
 	// straggler is set by the first report that the current run is a straggler.
@@ -109,19 +111,12 @@
 	resources      structs.ResourceReport
 	unacknowledged []unacknowledgedPlacement // placements that the resource report does not include yet
 	tasks          map[uint64]*task
-	slowness       slowness
-	// failures counts the jobs with a failed run since the last completed task; failedJobs holds them. While the
-	// breaker is open, no task is placed there before probeAt.
-	failures   int
-	failedJobs map[string]bool
-	probeAt    time.Duration
+	// logSlowness is the logarithm of the factor by which run times on the server exceed those on an average server, as
+	// its agent has reported.
+	logSlowness float64
 	// fullUntil is the time until which no task of a priority may be queued there, because one was returned for lack
 	// of resources.
 	fullUntil map[int]time.Duration
-	// startRefusals counts the starts that the server has refused or not answered since its last completed task. No
-	// task is placed there before pausedUntil.
-	startRefusals int
-	pausedUntil   time.Duration
 	// resumeDue is set until the first message of a new link has been sent.
 	resumeDue bool
 	// sentAddressVersion is the version of the gateway addresses that was last sent on this link.
@@ -427,7 +422,7 @@
 	srv := s.servers[id]
 	if srv == nil {
 		srv = &server{
-			id: id, tasks: map[uint64]*task{}, failedJobs: map[string]bool{}, fullUntil: map[int]time.Duration{},
+			id: id, tasks: map[uint64]*task{}, fullUntil: map[int]time.Duration{},
 		}
 		s.servers[id] = srv
 		at, _ := slices.BinarySearchFunc(s.sortedServers, srv, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
@@ -435,7 +430,7 @@
 	}
 	srv.linked, srv.tasksEndBy, srv.resumeDue = true, 0, true
 	srv.resources, srv.unacknowledged = structs.ResourceReport{}, nil
-	srv.report.Open = false
+	srv.report.Open, srv.logSlowness = false, 0
 }
 
 // Unlinked handles the end of the link with an agent. Its tasks are placed elsewhere once they have certainly ended.
@@ -456,15 +451,23 @@
 	if srv == nil {
 		return
 	}
-	if srv.report.Server != in.Server {
-		srv.slowness, srv.failures, srv.failedJobs, srv.pausedUntil = slowness{}, 0, map[string]bool{}, 0
-	}
 	if srv.report.Open != in.Open {
 		s.log(LogEntry{Message: "server report", Agent: id, Detail: "open=" + strconv.FormatBool(in.Open) + " " + in.Reason})
 	}
 	srv.report = *in
 }
 
+// HandleServerHealth handles what an agent has learned about its server.
+func (s *Scheduler) HandleServerHealth(now time.Duration, id structs.AgentID, in *structs.ServerHealth) {
+	s.advance(now)
+	if srv := s.servers[id]; srv != nil && !math.IsNaN(in.LogSlowness) {
+		srv.logSlowness = min(max(in.LogSlowness, -maxLogSlowness), maxLogSlowness)
+	}
+}
+
+// slowness returns the factor by which run times on the server exceed those on an average server.
+func (srv *server) slowness() float64 { return math.Exp(srv.logSlowness) }
+
 // HandleResourceReport handles an agent's report of its free and queued resources.
 func (s *Scheduler) HandleResourceReport(now time.Duration, id structs.AgentID, in *structs.ResourceReport) {
 	s.advance(now)
@@ -520,14 +523,10 @@
 	case structs.PlacementDone:
 		t.state = done
 		s.recordRunTime(srv, st, e)
-		s.recordSuccess(srv)
 		s.taskDone(j, st)
 	case structs.PlacementFailed:
 		s.taskFailed(t, srv)
 	case structs.PlacementUnhealthy:
-		srv.startRefusals++
-		pause := min(unhealthyPause<<min(srv.startRefusals-1, 10), unhealthyPauseMax)
-		srv.pausedUntil = s.now + pause
 		t.avoidServer = srv
 	case structs.PlacementNoResources:
 		srv.fullUntil[j.route.Priority] = s.now + noResourcesPause
@@ -554,26 +553,15 @@
 	t.state, t.server, t.stopping, t.straggler = pending, nil, false, false
 }
 
-// recordRunTime updates the model of the step and the slowness of the server with a completed run.
+// recordRunTime updates the model of the step with a completed run.
 func (s *Scheduler) recordRunTime(srv *server, st *step, e structs.PlacementEvent) {
 	if e.RunTime <= 0 {
 		return
 	}
 	st.longestRun = max(st.longestRun, e.RunTime)
 	st.completedTasks++
-	st.meanWork += (e.RunTime.Seconds()*1000/srv.slowness.factor() - st.meanWork) / st.completedTasks
-	average := st.model.predict(st.spec.Estimate)
-	st.model.observe(e.RunTime, srv.slowness.logFactor, st.spec.Estimate)
-	srv.slowness.observe(e.RunTime, average)
-}
-
-// recordSuccess closes the breaker of a server and resets its counters.
-func (s *Scheduler) recordSuccess(srv *server) {
-	if srv.failures >= breakerFailures {
-		s.log(LogEntry{Message: "server recovered, circuit breaker closed", Agent: srv.id})
-	}
-	srv.failures, srv.startRefusals = 0, 0
-	clear(srv.failedJobs)
+	st.meanWork += (e.RunTime.Seconds()*1000/srv.slowness() - st.meanWork) / st.completedTasks
+	st.model.observe(e.RunTime, srv.logSlowness, st.spec.Estimate)
 }
 
 // taskDone handles the completion of a task. After the last task of a step, dependent steps may start or the job has
@@ -603,19 +591,11 @@
 	s.end(j, OutcomeCompleted, "complete", 0)
 }
 
-// taskFailed handles a failed run. Each job counts at most once against a server, so that one faulty job does not
-// open every breaker.
+// taskFailed handles a failed run. The task is tried on another server, and the job fails after as many failures as its
+// route allows.
 func (s *Scheduler) taskFailed(t *task, srv *server) {
 	t.failures++
 	t.avoidServer = srv
-	if !srv.failedJobs[t.job.spec.ID] {
-		srv.failedJobs[t.job.spec.ID] = true
-		srv.failures++
-		if srv.failures == breakerFailures {
-			s.log(LogEntry{Message: "server fails runs, circuit breaker opened", Agent: srv.id, Job: t.job.spec.ID})
-		}
-		srv.probeAt = s.now + probeInterval
-	}
 	if t.failures >= t.job.route.MaxAttempts && !t.job.ended {
 		s.end(t.job, OutcomeFailed, "task failed", 0)
 	}
@@ -626,14 +606,15 @@
 // that the whole job takes long.
 func (s *Scheduler) handleStraggler(t *task, e structs.PlacementEvent) {
 	srv, st := t.server, t.job.steps[t.step]
-	srv.slowness.observeAtLeast(e.RunTime, st.work)
-	first := !t.straggler && e.Remaining < structs.StalledRemaining
+	// If the agent has meanwhile found that its server has turned slow, the task needs no second report.
+	slowed := srv.logSlowness-t.placedSlowness > slowedServer
+	first := !t.straggler && e.Remaining < structs.StalledRemaining && !slowed
 	t.straggler = true
 	if e.Remaining < structs.StalledRemaining {
 		if st.stragglerWork == nil {
 			st.stragglerWork = map[*server]float64{}
 		}
-		st.stragglerWork[srv] = (e.RunTime + e.Remaining).Seconds() * 1000 / srv.slowness.factor()
+		st.stragglerWork[srv] = (e.RunTime + e.Remaining).Seconds() * 1000 / srv.slowness()
 	}
 	if first || t.stopping || t.job.ended || t.moves >= maxMoves {
 		return
--- a/internal/schedule/simulation_test.go
+++ b/internal/schedule/simulation_test.go
@@ -261,6 +261,8 @@
 			switch m := message.(type) {
 			case *structs.ServerReport:
 				l.g.machine.HandleServerReport(now, id, m)
+			case *structs.ServerHealth:
+				l.g.machine.HandleServerHealth(now, id, m)
 			case *structs.ResourceReport:
 				l.g.machine.HandleResourceReport(now, id, m)
 			case *structs.PlacementEvents:
--- a/internal/structs/placement_messages.go
+++ b/internal/structs/placement_messages.go
@@ -16,6 +16,8 @@
 	// In both directions.
 	TypeOperatorState
 	TypeHeartbeat
+	// From agent to gateway. Gateways that do not know the type ignore it.
+	TypeServerHealth
 )
 
 // Times and limits that gateways and agents share.
@@ -79,6 +81,14 @@
 	Ack uint64
 }
 
+// ServerHealth says what an agent has learned about its backend server from the runs of all gateways. Placements after
+// it must take it into account in Place.ExpectedRunTime. A link begins with a slowness of 0.
+type ServerHealth struct {
+	_ struct{} `cbor:",toarray"`
+	// LogSlowness is the natural logarithm of the factor by which run times exceed those on an average server.
+	LogSlowness float64
+}
+
 // QueuedCPU is the CPU, in thousandths of a core, that the waiting tasks of one priority need.
 type QueuedCPU struct {
 	_        struct{} `cbor:",toarray"`
--- a/internal/supervisor/api.go
+++ b/internal/supervisor/api.go
@@ -173,6 +173,17 @@
 	// noResourcesPause is how long nothing is started after the server has refused a start for lack of resources. By
 	// then its list shows what runs.
 	noResourcesPause = 20 * time.Millisecond
+	// startRetryDelay is when a start that was not answered is sent again, with the same run number, so that the server
+	// carries out at most one of the requests. Servers on the same VM answer within a few ms. maxStartTries bounds the
+	// requests within the time-out of the first.
+	startRetryDelay = 12 * time.Millisecond
+	maxStartTries   = 3
+	// progressCheckShare is the share of its expected run time, in percent, after which the progress of a run is
+	// checked, but not before minProgressCheckDelay.
+	progressCheckShare    = 30
+	minProgressCheckDelay = 25 * time.Millisecond
+	// minListWait is the shortest wait of a request for the list, so that an unanswered check does not repeat it at once.
+	minListWait = 5 * time.Millisecond
 	// stragglerFactor is the multiple of its expected run time beyond which a run counts as a straggler. Run times of
 	// one kind of task vary by a factor of 1.5 either way (standard deviation 0.4 of the logarithm).
 	stragglerFactor = 2.5
--- a/internal/supervisor/flush.go
+++ b/internal/supervisor/flush.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -15,7 +16,9 @@
 	s.stopUnclaimed()
 	s.expireLease()
 	s.sendStops()
+	s.probeServer()
 	s.startQueuedRuns()
+	s.retryStarts()
 	s.returnOverdueRuns()
 	s.trimQueue()
 	s.prune()
@@ -109,11 +112,35 @@
 	run.state, run.startedAt = starting, s.now
 	s.activate(run)
 	s.usedResources = s.usedResources.Add(run.need)
+	s.requestStart(run)
+}
+
+func (s *Supervisor) requestStart(run *run) {
+	run.tries++
+	run.retryAt = s.now + startRetryDelay
 	s.actions = append(s.actions, CallStart{
 		RunRef: run.RunRef, Payload: run.payload, Token: s.token, LeaseEnd: s.grantLease(),
 	})
 }
 
+// retryStarts repeats the starts that were not answered in time: one lost answer must not delay a short task until the
+// time-out.
+func (s *Supervisor) retryStarts() {
+	var due []*run
+	for _, run := range s.activeRuns {
+		if run.state == starting && run.tries < maxStartTries && s.now >= run.retryAt && s.canRun(run) {
+			due = append(due, run)
+		}
+	}
+	if len(due) == 0 || s.leaseLimit() <= s.now {
+		return
+	}
+	slices.SortFunc(due, compareRuns)
+	for _, run := range due {
+		s.requestStart(run)
+	}
+}
+
 // returnOverdueRuns returns queued runs that did not start within the time that their gateway has set.
 func (s *Supervisor) returnOverdueRuns() {
 	for _, run := range slices.Clone(s.queue) {
@@ -164,6 +191,7 @@
 }
 
 func (s *Supervisor) sendMessages() {
+	s.slowness.recover(s.now)
 	interval := time.Duration(s.linkedGateways()) * ReportInterval
 	for _, g := range s.sortedGateways() {
 		if g.linked {
@@ -187,8 +215,13 @@
 func (s *Supervisor) sendTo(g *gateway, interval time.Duration) {
 	if g.serverReportDue {
 		g.serverReportDue, g.reportDue = false, true
-		s.send(g, structs.TypeServerReport, s.ServerReport())
+		report := s.ServerReport()
+		report.Reason = s.closedTo(g)
+		report.Open = report.Reason == ""
+		s.send(g, structs.TypeServerReport, report)
 	}
+	change := math.Abs(s.slowness.current - g.sentSlowness)
+	g.reportDue = g.reportDue || change > urgentSlownessStep
 	events := len(g.events) > 0
 	if events {
 		s.send(g, structs.TypePlacementEvents, &structs.PlacementEvents{Events: g.events})
@@ -196,6 +229,10 @@
 	}
 	if g.reportDue && (events || s.now >= g.nextReportAt) {
 		g.reportDue, g.nextReportAt = false, s.now+interval
+		if change > slownessReportStep {
+			g.sentSlowness = s.slowness.current
+			s.send(g, structs.TypeServerHealth, &structs.ServerHealth{LogSlowness: g.sentSlowness})
+		}
 		s.send(g, structs.TypeResourceReport, s.resourceReport(g))
 	}
 	if s.now-g.sentAt >= s.heartbeatInterval(g) {
@@ -220,6 +257,9 @@
 	report := &structs.ServerReport{
 		Agent: s.options.Self, Zone: s.options.Zone, Revision: s.revision, Reason: s.closedReason(),
 	}
+	if report.Reason == "" {
+		report.Reason = s.suspension.reason
+	}
 	report.Open = report.Reason == ""
 	if s.server != nil {
 		report.Server, report.Service = s.server.ID, s.server.Service
@@ -273,12 +313,18 @@
 		if run.state == stopping && !run.stopConfirmed {
 			sooner(run.nextStopAt)
 		}
+		if run.state == starting && run.tries < maxStartTries && s.canRun(run) {
+			sooner(run.retryAt)
+		}
 	}
 	for _, run := range s.queue {
 		if run.startBy > 0 {
 			sooner(run.startBy)
 		}
 	}
+	if b := &s.suspension; b.reason != "" && b.probe == nil {
+		sooner(max(b.until, b.probeUntil))
+	}
 	if len(s.queue) > 0 && s.startsPausedUntil > s.now {
 		sooner(s.startsPausedUntil)
 	}
--- a/internal/supervisor/gateways.go
+++ b/internal/supervisor/gateways.go
@@ -30,6 +30,8 @@
 	nextReportAt    time.Duration
 	sentAt          time.Duration
 	serverReportDue bool // a server report must be sent
+	// sentSlowness is the slowness that was last sent on the link, 0 at its start.
+	sentSlowness float64
 	// pendingResume and pendingStops keep the gateway's first message and its stops until the runs are reconciled.
 	pendingResume *structs.Resume
 	pendingStops  []uint64
@@ -46,6 +48,7 @@
 		s.gateways[in.Gateway] = g
 	}
 	g.linked, g.lastContact, g.serverReportDue, g.events, g.pendingResume, g.pendingStops = true, s.now, true, nil, in, nil
+	g.sentSlowness = 0
 	if s.reconciled {
 		s.reconcileTasks(g)
 	}
@@ -97,15 +100,17 @@
 	for _, g := range s.gateways {
 		gateways = append(gateways, g)
 	}
-	slices.SortFunc(gateways, func(a, b *gateway) int {
-		if c := cmp.Compare(a.ref.ID, b.ref.ID); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.ref.Incarnation, b.ref.Incarnation)
-	})
+	slices.SortFunc(gateways, func(a, b *gateway) int { return compareGateways(a.ref, b.ref) })
 	return gateways
 }
 
+func compareGateways(a, b structs.GatewayRef) int {
+	if c := cmp.Compare(a.ID, b.ID); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Incarnation, b.Incarnation)
+}
+
 // resumeTask answers for one task that the gateway has listed, unless it is here. A run that was found is
 // claimed.
 func (s *Supervisor) resumeTask(g *gateway, t *structs.ResumedTask) {
@@ -192,7 +197,7 @@
 		}
 		run := &run{
 			RunRef: RunRef{Task: s.options.TaskName(in.Job, in.Step, t.Index), Run: t.Run},
-			id:     t.ID, gateway: g, payload: in.Payload, need: in.Need, expectedRunTime: in.ExpectedRunTime,
+			id:     t.ID, job: in.Job, gateway: g, assumedSlowness: g.sentSlowness, payload: in.Payload, need: in.Need, expectedRunTime: in.ExpectedRunTime,
 			priority: in.Priority, arrival: s.now - in.Age, placedAt: s.now,
 		}
 		if in.StartWithin > 0 {
@@ -205,10 +210,13 @@
 
 // admit queues a run, or reports why it cannot start here.
 func (s *Supervisor) admit(run *run) {
-	if s.closedReason() != "" {
+	if s.closedTo(run.gateway) != "" {
 		s.reportEnd(run, structs.PlacementClosed)
 		return
 	}
+	if s.suspension.reason != "" {
+		s.suspension.probe, run.gateway.serverReportDue = run, true
+	}
 	if !s.server.Capacity.Covers(run.need) {
 		s.reportEnd(run, structs.PlacementNoResources)
 		return
@@ -305,6 +313,9 @@
 	if run.startedAt > 0 {
 		event.RunTime = s.now - run.startedAt
 	}
+	if run == s.suspension.probe && run.startedAt == 0 {
+		s.suspension.probe = nil
+	}
 	delete(g.runs, run.id)
 	g.recentEvents[run.id] = recentEvent{event: event, at: s.now}
 	if g.linked {
--- a/internal/supervisor/runs.go
+++ b/internal/supervisor/runs.go
@@ -25,6 +25,7 @@
 		return
 	}
 	s.deactivate(run)
+	s.recordEnd(run, kind)
 	s.usedResources = s.usedResources.Sub(run.need)
 	s.resourcesChanged = true
 	s.highestRuns[run.Task] = usedRunNumber{run: max(run.Run, s.highestRuns[run.Task].run), at: s.now}
@@ -38,7 +39,9 @@
 	if run == nil {
 		return
 	}
-	run.answered = answer != AnswerNone
+	if answer != AnswerNone {
+		run.answers++
+	}
 	if run.state == stopping {
 		s.startAnsweredWhileStopping(run, answer)
 		return
@@ -46,12 +49,20 @@
 	if run.state != starting {
 		return
 	}
+	if run.tries > 1 && answer == AnswerOldRun {
+		answer = AnswerOK // an earlier request was carried out and its run has ended, as the next list shows
+	}
+	if run.tries > 1 && (answer == AnswerNoResources || answer == AnswerUnhealthy) {
+		s.log(LogEntry{Message: "start refused after an unanswered one, stops it", Task: run.Task, Run: run.Run})
+		s.stopUnanswered(run, structs.PlacementLost)
+		return
+	}
 	switch answer {
 	case AnswerOK:
 		run.state, run.confirmedAt = running, s.now
 	case AnswerNone:
 		s.log(LogEntry{Message: "start not answered, stops it", Task: run.Task, Run: run.Run})
-		run.state, run.endKind, run.nextStopAt = stopping, structs.PlacementUnhealthy, s.now
+		s.stopUnanswered(run, structs.PlacementUnhealthy)
 		s.unansweredStarts++
 	case AnswerOldRun:
 		s.retryStart(run)
@@ -65,10 +76,15 @@
 	}
 }
 
+// stopUnanswered stops a run that the server may still start. kind is the event that its gateway then gets.
+func (s *Supervisor) stopUnanswered(run *run, kind structs.PlacementEventKind) {
+	run.state, run.endKind, run.nextStopAt = stopping, kind, s.now
+}
+
 // startAnsweredWhileStopping handles the answer to the start of a run that is being stopped. A refusal proves that it
-// never ran.
+// never ran, if it was the only request to start it.
 func (s *Supervisor) startAnsweredWhileStopping(run *run, answer Answer) {
-	if answer != AnswerNone && answer != AnswerOK {
+	if answer != AnswerNone && answer != AnswerOK && run.tries == 1 {
 		s.finish(run, run.endKind)
 	}
 }
@@ -78,6 +94,7 @@
 	s.deactivate(run)
 	s.highestRuns[run.Task] = usedRunNumber{run: run.Run, at: s.now}
 	s.usedResources = s.usedResources.Sub(run.need)
+	run.tries, run.answers = 0, 0
 	if !s.canRun(run) {
 		s.reportEnd(run, structs.PlacementClosed)
 		return
@@ -275,26 +292,36 @@
 }
 
 func newFoundRun(ref RunRef, now time.Duration) *run {
-	return &run{RunRef: ref, state: running, startedAt: now, confirmedAt: now, answered: true, stopBy: now}
+	return &run{RunRef: ref, state: running, startedAt: now, confirmedAt: now, stopBy: now}
 }
 
-// checkProgress reports a run as a straggler if it will take much longer than expected. The remaining time is
-// extrapolated from the progress. A run without progress is assumed never to end.
+// checkProgress learns from the progress of a run how fast the server is, and whether it stands still. It reports a run
+// as a straggler if it will take much longer than expected. The remaining time is extrapolated from the progress. A run
+// without progress is assumed never to end.
 func (s *Supervisor) checkProgress(run *run, percent float64) {
-	if run.state != running || run.gateway == nil || !run.gateway.linked || run.expectedRunTime <= 0 ||
-		s.now < run.nextStragglerReportAt {
+	if percent > run.percent {
+		run.percent, s.lastProgressAt = percent, s.now
+		if s.suspension.reason == reasonStalled {
+			s.resumeService("runs advance")
+		}
+	}
+	if run.state != running || run.gateway == nil || !run.gateway.linked || run.expectedRunTime <= 0 {
 		return
 	}
 	elapsed := s.now - run.startedAt
-	limit := max(time.Duration(stragglerFactor*float64(run.expectedRunTime)), minStragglerTime)
+	if elapsed < progressCheckDelay(run.expectedRunTime) {
+		return
+	}
 	remaining := structs.StalledRemaining
 	if percent > 0 {
 		remaining = time.Duration(float64(elapsed) * (100 - percent) / percent)
 	}
-	if elapsed < run.expectedRunTime/2 || elapsed+remaining < limit {
-		return
+	if !run.checked {
+		run.checked = true
+		s.judgeProgress(run, elapsed, remaining)
 	}
-	if percent <= 0 && elapsed < limit {
+	limit := max(time.Duration(stragglerFactor*float64(run.expectedRunTime)), minStragglerTime)
+	if elapsed+remaining < limit || s.now < run.nextStragglerReportAt {
 		return
 	}
 	run.nextStragglerReportAt = s.now + stragglerReportInterval
@@ -302,3 +329,39 @@
 		ID: run.id, Kind: structs.PlacementStraggling, RunTime: elapsed, Remaining: remaining,
 	})
 }
+
+// judgeProgress draws conclusions about the server from the first progress of a run. If nothing on the server has
+// advanced since the run was started, the server stands still; otherwise only the run does.
+func (s *Supervisor) judgeProgress(run *run, elapsed, remaining time.Duration) {
+	if remaining < structs.StalledRemaining {
+		// The end of a run is a better observation, but comes late if the server has turned slow.
+		if elapsed+remaining > time.Duration(stragglerFactor*float64(run.expectedRunTime)) {
+			s.observeRunTime(run, elapsed+remaining)
+		}
+		return
+	}
+	if s.lastProgressAt <= run.confirmedAt {
+		s.suspend(reasonStalled)
+	}
+}
+
+// reasonStalled is the reason of a suspension because the runs of the server do not advance.
+const reasonStalled = "stalled"
+
+// progressCheckDelay returns when the progress of a run is first compared with the expected one: early enough that a
+// short task can still be moved in time, and late enough that a run with the expected speed shows several percent.
+func progressCheckDelay(expected time.Duration) time.Duration {
+	return max(expected*progressCheckShare/100, minProgressCheckDelay)
+}
+
+// ListWait returns how long the next request for the list may wait for the end of a run, at most longest: until the
+// next run whose progress must be checked.
+func (s *Supervisor) ListWait(now, longest time.Duration) time.Duration {
+	wait := longest
+	for _, run := range s.activeRuns {
+		if run.state == running && !run.checked && run.expectedRunTime > 0 {
+			wait = min(wait, run.startedAt+progressCheckDelay(run.expectedRunTime)-now)
+		}
+	}
+	return max(wait, minListWait)
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -26,6 +26,7 @@
 	RunRef
 	// id is the gateway's number of the placement.
 	id              uint64
+	job             string
 	gateway         *gateway // nil for a run that was found and has not been claimed
 	payload         string
 	need            structs.Resources
@@ -40,8 +41,18 @@
 	// startedAt is when the start was sent, confirmedAt when it was answered.
 	startedAt   time.Duration
 	confirmedAt time.Duration
-	// answered is set once the start was answered. After that the server cannot carry it out any more.
-	answered bool
+	// tries counts the requests to start the run, answers those that were answered. Once all are, the server cannot carry
+	// one out any more. retryAt is when the start is requested again if none was answered.
+	tries   int
+	answers int
+	retryAt time.Duration
+	// percent is the last known progress. checked is set once the progress was compared with the expected one.
+	percent float64
+	checked bool
+	// observed is set once the slowness of the server was learned from the run.
+	observed bool
+	// assumedSlowness is the slowness of the server, as a logarithm, that expectedRunTime includes.
+	assumedSlowness float64
 	// nextStopAt is when to send the next stop. stopConfirmed is set once the server has answered one, at
 	// stopConfirmedAt.
 	nextStopAt      time.Duration
@@ -107,8 +118,12 @@
 	claimDeadline     time.Duration
 	startsPausedUntil time.Duration
 	pruneAt           time.Duration
-	resourcesChanged  bool
-	actions           []Action
+	slowness          slowness
+	suspension        suspension
+	// lastProgressAt is when a list last showed that a run has advanced or completed.
+	lastProgressAt   time.Duration
+	resourcesChanged bool
+	actions          []Action
 }
 
 // New returns a supervisor that does not know its server yet.
@@ -119,6 +134,7 @@
 		activeRuns: map[RunRef]*run{}, activeRunsByTask: map[string]int{},
 		highestRuns:   map[string]usedRunNumber{},
 		unclaimedEnds: map[RunRef]unclaimedEnd{},
+		suspension:    suspension{failedJobs: map[string]bool{}},
 		token:         options.Token,
 		claimDeadline: now + ClaimTimeout,
 		// An earlier agent may have renewed the lease just before this one was started.
@@ -208,7 +224,8 @@
 		}
 	}
 	s.reconcile()
-	s.lastEndNumber = 0
+	s.slowness, s.lastEndNumber = slowness{}, 0
+	s.resumeService("server restarted")
 	s.highestRuns = map[string]usedRunNumber{}
 }
 
@@ -216,7 +233,7 @@
 // still reach the next incarnation, so its run is kept until a list of that incarnation does not show it.
 func (s *Supervisor) endAllRuns() {
 	for _, run := range s.sortedActiveRuns() {
-		if run.answered {
+		if run.answers >= run.tries {
 			s.finish(run, structs.PlacementLost)
 			continue
 		}
@@ -264,8 +281,8 @@
 	for _, g := range s.gateways {
 		g.serverReportDue = true
 	}
-	if s.closedReason() != "" {
-		for _, run := range slices.Clone(s.queue) {
+	for _, run := range slices.Clone(s.queue) {
+		if s.closedTo(run.gateway) != "" && run != s.suspension.probe {
 			s.dequeue(run)
 			s.reportEnd(run, structs.PlacementClosed)
 		}
