Scheduler: cost of a task does not grow with the number of servers

Cause: chooseServer looked at every server for each task and again at each message while a job waited, with an exponential function each, and each Flush walked all servers six times. Change: a task first considers a sample of 24 servers in the gateway's zone and 16 of all, in turns, and all servers only if none of them is expected to be in time; a waiting job considers the servers that have changed, and all of them every 5 ms; the slowness factor is kept; links without a first message, links lost and due heartbeats are kept in lists. Sites of up to 40 servers are considered whole as before.

--- a/internal/platformgateway/gateway.go
+++ b/internal/platformgateway/gateway.go
@@ -217,7 +217,7 @@
 			g.log(action)
 		}
 	}
-	g.hasUsableServer.Store(g.scheduler.UsableServers() > 0)
+	g.hasUsableServer.Store(g.scheduler.HasUsableServer())
 }
 
 // log writes a decision of the scheduler to the log, without the fields that do not apply.
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -25,11 +26,10 @@
 
 // resumeLinks sends the first message of new links. It lists the tasks that the agent should have.
 func (s *Scheduler) resumeLinks() {
-	for _, srv := range s.sortedServers {
-		if !srv.resumeDue {
+	for _, srv := range s.resumes {
+		if !srv.linked {
 			continue
 		}
-		srv.resumeDue = false
 		message := &structs.Resume{Gateway: s.options.Self, GatewayAddresses: s.gatewayAddresses, Revision: s.revision}
 		srv.sentAddressVersion = s.addressVersion
 		for _, t := range sortedTasks(srv) {
@@ -43,6 +43,7 @@
 		}
 		s.send(srv, structs.TypeResume, message)
 	}
+	s.resumes = s.resumes[:0]
 }
 
 // sortedTasks returns the tasks placed on a server, ordered by placement id.
@@ -58,13 +59,15 @@
 // expireUnlinkedServers ends the placements on unlinked servers whose runs must have ended by now, and removes
 // servers that have been unlinked for too long.
 func (s *Scheduler) expireUnlinkedServers() {
-	for _, srv := range slices.Clone(s.sortedServers) {
-		if !srv.linked && s.now-srv.unlinkedAt > serverRetention {
+	for _, srv := range slices.Clone(s.unlinked) {
+		if s.now-srv.unlinkedAt > serverRetention {
 			delete(s.servers, srv.id)
-			s.sortedServers = slices.DeleteFunc(s.sortedServers, func(other *server) bool { return other == srv })
+			zone := srv.report.Zone
+			s.sortedServers, s.unlinked = removeServer(s.sortedServers, srv), removeServer(s.unlinked, srv)
+			s.serversByZone[zone] = removeServer(s.serversByZone[zone], srv)
 			continue
 		}
-		if srv.linked || srv.tasksEndBy == 0 || s.now < srv.tasksEndBy {
+		if srv.tasksEndBy == 0 || s.now < srv.tasksEndBy {
 			continue
 		}
 		for _, t := range sortedTasks(srv) {
@@ -103,10 +106,44 @@
 // free resources on which the job is expected to be in time are best, those in the gateway's zone and with a low load
 // first. Other servers follow by the expected end, as long as the job may still be in time or has begun. Servers with
 // free resources on which the job will be late come last, and only if late is set. The server except is left out.
+//
+// A sample of the servers is considered first, so that the cost of a task does not grow with the site, and gateways with
+// similar views do not all choose the same server. All servers are considered if the sample has none on which the job is
+// expected to be in time. For a job that has been waiting since then, only servers that have changed are.
 func (s *Scheduler) chooseServer(j *job, st *step, t *task, except *server, late bool) candidate {
+	if s.now < j.nextScan {
+		best, _ := s.bestOf(s.changed, j, st, t, except, late)
+		return best
+	}
+	if len(s.sortedServers) > localSample+remoteSample {
+		if best, rank := s.bestOf(s.sampleServers(), j, st, t, except, late); rank == rankInTime {
+			return best
+		}
+	}
+	best, _ := s.bestOf(s.sortedServers, j, st, t, except, late)
+	return best
+}
+
+// sampleServers returns some servers in the gateway's zone and some of all zones. Successive samples go round.
+func (s *Scheduler) sampleServers() []*server {
+	s.sample = s.sample[:0]
+	local := s.serversByZone[s.options.Zone]
+	for range min(localSample, len(local)) {
+		s.localOffset = (s.localOffset + 1) % len(local)
+		s.sample = append(s.sample, local[s.localOffset])
+	}
+	for range remoteSample {
+		s.remoteOffset = (s.remoteOffset + 1) % len(s.sortedServers)
+		s.sample = append(s.sample, s.sortedServers[s.remoteOffset])
+	}
+	return s.sample
+}
+
+// bestOf returns the best of some servers for a task and its rank, 0 if none is suitable.
+func (s *Scheduler) bestOf(servers []*server, j *job, st *step, t *task, except *server, late bool) (candidate, int) {
 	var best candidate
 	bestRank, bestScore := 0, 0.0
-	for _, srv := range s.sortedServers {
+	for _, srv := range servers {
 		if srv == except || !s.usable(srv) || srv.report.Service != j.route.Service || !s.admits(srv, st) {
 			continue
 		}
@@ -119,7 +156,7 @@
 			best, bestRank, bestScore = c, rank, score
 		}
 	}
-	return best
+	return best, bestRank
 }
 
 // evaluate returns a server as a candidate for a task of a step, and whether the task may be placed there at all.
@@ -128,7 +165,7 @@
 	if !ok {
 		return candidate{}, false
 	}
-	c := candidate{server: srv, wait: wait, run: millis(st.work * srv.slowness())}
+	c := candidate{server: srv, wait: wait, run: millis(st.work * srv.slowness)}
 	c.offRack = st.spec.Rack != "" && !slices.Contains(srv.report.Labels, st.spec.Rack)
 	if c.offRack {
 		c.run = time.Duration(float64(c.run) * s.options.OffRackFactor)
@@ -193,8 +230,16 @@
 // if it will be late.
 func (j *job) begun() bool { return j.mayHaveRun || j.placed > 0 }
 
-// Parameters of the scores.
+// Parameters of the choice of a server.
 const (
+	// localSample and remoteSample are the numbers of servers in the gateway's zone and in all zones that are considered
+	// first for a task.
+	localSample  = 24
+	remoteSample = 16
+	// scanInterval is the time after which all servers are considered again for a waiting task: what a server may get
+	// also changes with time.
+	scanInterval = 5 * time.Millisecond
+
 	// runMarginDivisor sets the safety margin: the expected run time divided by it.
 	runMarginDivisor = 5
 	// zonePenalty is how much fuller, as a fraction of its capacity, a server in the gateway's zone may be than one
@@ -252,6 +297,10 @@
 			s.dispatchJob(j)
 		}
 	}
+	for _, srv := range s.changed {
+		srv.changed = false
+	}
+	s.changed = s.changed[:0]
 }
 
 // dispatchJob places the pending tasks of a job whose steps are ready. It ends the job at its deadline. It refuses
@@ -262,6 +311,9 @@
 		return
 	}
 	late := s.now > j.startBy(s.fastestRunTime(j))
+	if late {
+		j.nextScan = 0 // servers on which the job will be late are suitable now
+	}
 	unplaced := false
 	for _, st := range j.steps {
 		if st.pending == 0 || !s.ready(j, st) {
@@ -283,6 +335,9 @@
 		s.dequeue(j)
 		return
 	}
+	if s.now >= j.nextScan {
+		j.nextScan = s.now + scanInterval
+	}
 	if late && !j.begun() {
 		s.end(j, OutcomeRefused, ReasonNoResources, s.retryAfter())
 	}
@@ -300,12 +355,15 @@
 
 // fastestRunTime returns the expected run time of a job on the fastest server.
 func (s *Scheduler) fastestRunTime(j *job) time.Duration {
-	factor := 1.0
-	for i, srv := range s.sortedServers {
-		if f := srv.slowness(); i == 0 || f < factor {
-			factor = f
+	if s.fastest == 0 {
+		s.fastest = 1
+		for i, srv := range s.sortedServers {
+			if i == 0 || srv.slowness < s.fastest {
+				s.fastest = srv.slowness
+			}
 		}
 	}
+	factor := s.fastest
 	longest := time.Duration(0)
 	for _, st := range j.steps {
 		longest = max(longest, millis(st.work*factor)+time.Duration(factor*float64(st.remaining)))
@@ -384,8 +442,8 @@
 }
 
 func (s *Scheduler) sendStops() {
-	for _, srv := range s.sortedServers {
-		if ids := s.stops[srv]; len(ids) > 0 && srv.linked {
+	for _, srv := range slices.SortedFunc(maps.Keys(s.stops), compareServers) {
+		if ids := s.stops[srv]; srv.linked {
 			s.send(srv, structs.TypeStop, &structs.Stop{IDs: ids})
 		}
 	}
@@ -393,14 +451,22 @@
 }
 
 func (s *Scheduler) sendHeartbeats() {
+	if s.now < s.heartbeatsDue {
+		return
+	}
+	s.heartbeatsDue = s.now + structs.BusyHeartbeatInterval
 	for _, srv := range s.sortedServers {
-		if srv.linked && s.now-srv.sentAt >= s.heartbeatInterval(srv) {
+		if !srv.linked {
+			continue
+		}
+		if s.now-srv.sentAt >= s.heartbeatInterval(srv) {
 			heartbeat := &structs.Heartbeat{Revision: s.revision}
 			if srv.sentAddressVersion != s.addressVersion {
 				srv.sentAddressVersion, heartbeat.GatewayAddresses = s.addressVersion, s.gatewayAddresses
 			}
 			s.send(srv, structs.TypeHeartbeat, heartbeat)
 		}
+		s.heartbeatsDue = min(s.heartbeatsDue, srv.sentAt+s.heartbeatInterval(srv))
 	}
 }
 
@@ -418,12 +484,9 @@
 
 // NextWake returns when Flush must be called next if no input comes before.
 func (s *Scheduler) NextWake() time.Duration {
-	wake := s.now + structs.IdleHeartbeatInterval
-	for _, srv := range s.sortedServers {
-		switch {
-		case srv.linked:
-			wake = min(wake, srv.sentAt+s.heartbeatInterval(srv))
-		case srv.tasksEndBy > 0:
+	wake := min(s.now+structs.IdleHeartbeatInterval, s.heartbeatsDue)
+	for _, srv := range s.unlinked {
+		if srv.tasksEndBy > 0 {
 			wake = min(wake, srv.tasksEndBy)
 		}
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -88,6 +88,8 @@
 	mayHaveRun bool
 	placed     int
 	ended      bool
+	// nextScan is when all servers are considered again for the waiting tasks. Before that, only those that have changed.
+	nextScan time.Duration
 	// resubmissions holds submissions of the same job that arrived while it was being stopped.
 	resubmissions []resubmission
 }
@@ -111,14 +113,15 @@
 	resources      structs.ResourceReport
 	unacknowledged []unacknowledgedPlacement // placements that the resource report does not include yet
 	tasks          map[uint64]*task
-	// logSlowness is the logarithm of the factor by which run times on the server exceed those on an average server, as
-	// its agent has reported.
+	// slowness is the factor by which run times on the server exceed those on an average server, as its agent has
+	// reported, and logSlowness its logarithm.
+	slowness    float64
 	logSlowness float64
+	// changed is set if the server may have become suitable for a waiting job since the last Flush.
+	changed bool
 	// fullUntil is the time until which no task of a priority may be queued there, because one was returned for lack
 	// of resources.
 	fullUntil map[int]time.Duration
-	// resumeDue is set until the first message of a new link has been sent.
-	resumeDue bool
 	// sentAddressVersion is the version of the gateway addresses that was last sent on this link.
 	sentAddressVersion uint64
 }
@@ -132,10 +135,23 @@
 
 // Scheduler is the state machine that schedules the jobs of one gateway. It is not safe for concurrent use.
 type Scheduler struct {
-	options          Options
-	now              time.Duration
-	servers          map[structs.AgentID]*server
-	sortedServers    []*server
+	options       Options
+	now           time.Duration
+	servers       map[structs.AgentID]*server
+	sortedServers []*server
+	// serversByZone holds the servers of each availability zone in the order of their ids.
+	serversByZone map[string][]*server
+	// localOffset and remoteOffset are where the next samples of servers begin, see sampleServers.
+	localOffset, remoteOffset int
+	// fastest is the lowest slowness of all servers, 0 if it must be determined again.
+	fastest float64
+	// changed holds the servers that may have become suitable for waiting jobs since the last Flush, resumes those with a
+	// new link whose first message is due, and unlinked those without a link.
+	changed, resumes []*server
+	unlinked         []*server
+	sample           []*server // reused by sampleServers
+	// heartbeatsDue is the earliest time at which a heartbeat may be due on any link.
+	heartbeatsDue    time.Duration
 	models           map[string]*runTimeModel
 	jobs             map[string]*job
 	queue            []*job // jobs with pending tasks, by priority and arrival
@@ -161,7 +177,7 @@
 	}
 	return &Scheduler{
 		options: options, now: now,
-		servers: map[structs.AgentID]*server{}, models: map[string]*runTimeModel{}, jobs: map[string]*job{},
+		servers: map[structs.AgentID]*server{}, serversByZone: map[string][]*server{}, models: map[string]*runTimeModel{}, jobs: map[string]*job{},
 		tasks: map[uint64]*task{}, zonesOut: map[string]bool{}, stops: map[*server][]uint64{},
 	}
 }
@@ -202,6 +218,9 @@
 // KnownServers returns the number of servers, with and without a link.
 func (s *Scheduler) KnownServers() int { return len(s.sortedServers) }
 
+// HasUsableServer reports whether any server accepts tasks.
+func (s *Scheduler) HasUsableServer() bool { return slices.ContainsFunc(s.sortedServers, s.usable) }
+
 // UsableServers returns the number of servers that accept tasks.
 func (s *Scheduler) UsableServers() int {
 	count := 0
@@ -221,6 +240,9 @@
 	for _, zone := range zones {
 		s.zonesOut[zone] = true
 	}
+	for _, srv := range s.sortedServers {
+		s.markChanged(srv)
+	}
 }
 
 // SetGatewayAddresses sets the link addresses of the live gateways. The scheduler sends them to the agents.
@@ -422,15 +444,46 @@
 	srv := s.servers[id]
 	if srv == nil {
 		srv = &server{
-			id: id, tasks: map[uint64]*task{}, fullUntil: map[int]time.Duration{},
+			id: id, slowness: 1, tasks: map[uint64]*task{}, fullUntil: map[int]time.Duration{},
 		}
 		s.servers[id] = srv
-		at, _ := slices.BinarySearchFunc(s.sortedServers, srv, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
-		s.sortedServers = slices.Insert(s.sortedServers, at, srv)
+		s.sortedServers = insertServer(s.sortedServers, srv)
+		s.serversByZone[srv.report.Zone] = insertServer(s.serversByZone[srv.report.Zone], srv)
+	}
+	s.unlinked = removeServer(s.unlinked, srv)
+	if !slices.Contains(s.resumes, srv) {
+		s.resumes = append(s.resumes, srv)
 	}
-	srv.linked, srv.tasksEndBy, srv.resumeDue = true, 0, true
+	srv.linked, srv.tasksEndBy = true, 0
 	srv.resources, srv.unacknowledged = structs.ResourceReport{}, nil
-	srv.report.Open, srv.logSlowness = false, 0
+	srv.report.Open = false
+	s.setSlowness(srv, 0)
+}
+
+func compareServers(a, b *server) int { return cmp.Compare(a.id, b.id) }
+
+func insertServer(servers []*server, srv *server) []*server {
+	at, _ := slices.BinarySearchFunc(servers, srv, compareServers)
+	return slices.Insert(servers, at, srv)
+}
+
+func removeServer(servers []*server, srv *server) []*server {
+	return slices.DeleteFunc(servers, func(other *server) bool { return other == srv })
+}
+
+// markChanged notes that a server may have become suitable for waiting jobs.
+func (s *Scheduler) markChanged(srv *server) {
+	if !srv.changed {
+		srv.changed = true
+		s.changed = append(s.changed, srv)
+	}
+}
+
+func (s *Scheduler) setSlowness(srv *server, logSlowness float64) {
+	srv.logSlowness = min(max(logSlowness, -maxLogSlowness), maxLogSlowness)
+	srv.slowness = math.Exp(srv.logSlowness)
+	s.fastest = 0
+	s.markChanged(srv)
 }
 
 // Unlinked handles the end of the link with an agent. Its tasks are placed elsewhere once they have certainly ended.
@@ -438,6 +491,7 @@
 	s.advance(now)
 	if srv := s.servers[id]; srv != nil && srv.linked {
 		srv.linked, srv.unlinkedAt = false, s.now
+		s.unlinked = insertServer(s.unlinked, srv)
 		lease := time.Duration(structs.ClockDriftFactor * float64(s.options.RunLease))
 		srv.tasksEndBy = s.now + structs.GatewayTimeout + lease
 		s.log(LogEntry{Message: "agent disconnected", Agent: id, Detail: "tasks " + strconv.Itoa(len(srv.tasks))})
@@ -454,20 +508,22 @@
 	if srv.report.Open != in.Open {
 		s.log(LogEntry{Message: "server report", Agent: id, Detail: "open=" + strconv.FormatBool(in.Open) + " " + in.Reason})
 	}
+	if srv.report.Zone != in.Zone {
+		s.serversByZone[srv.report.Zone] = removeServer(s.serversByZone[srv.report.Zone], srv)
+		s.serversByZone[in.Zone] = insertServer(s.serversByZone[in.Zone], srv)
+	}
 	srv.report = *in
+	s.markChanged(srv)
 }
 
 // HandleServerHealth handles what an agent has learned about its server.
 func (s *Scheduler) HandleServerHealth(now time.Duration, id structs.AgentID, in *structs.ServerHealth) {
 	s.advance(now)
 	if srv := s.servers[id]; srv != nil && !math.IsNaN(in.LogSlowness) {
-		srv.logSlowness = min(max(in.LogSlowness, -maxLogSlowness), maxLogSlowness)
+		s.setSlowness(srv, in.LogSlowness)
 	}
 }
 
-// slowness returns the factor by which run times on the server exceed those on an average server.
-func (srv *server) slowness() float64 { return math.Exp(srv.logSlowness) }
-
 // HandleResourceReport handles an agent's report of its free and queued resources.
 func (s *Scheduler) HandleResourceReport(now time.Duration, id structs.AgentID, in *structs.ResourceReport) {
 	s.advance(now)
@@ -483,6 +539,7 @@
 		}
 	}
 	srv.unacknowledged = kept
+	s.markChanged(srv)
 }
 
 // HandlePlacementEvents handles an agent's events about placed tasks. Events of placements that the scheduler no
@@ -538,6 +595,7 @@
 	}
 	if t.state == pending {
 		st.pending++
+		j.nextScan = 0
 		s.enqueue(j)
 	}
 }
@@ -560,7 +618,7 @@
 	}
 	st.longestRun = max(st.longestRun, e.RunTime)
 	st.completedTasks++
-	st.meanWork += (e.RunTime.Seconds()*1000/srv.slowness() - st.meanWork) / st.completedTasks
+	st.meanWork += (e.RunTime.Seconds()*1000/srv.slowness - st.meanWork) / st.completedTasks
 	st.model.observe(e.RunTime, srv.logSlowness, st.spec.Estimate)
 }
 
@@ -585,6 +643,7 @@
 		}
 	}
 	if !complete {
+		j.nextScan = 0
 		s.enqueue(j) // a step may have become ready
 		return
 	}
@@ -614,7 +673,7 @@
 		if st.stragglerWork == nil {
 			st.stragglerWork = map[*server]float64{}
 		}
-		st.stragglerWork[srv] = (e.RunTime + e.Remaining).Seconds() * 1000 / srv.slowness()
+		st.stragglerWork[srv] = (e.RunTime + e.Remaining).Seconds() * 1000 / srv.slowness
 	}
 	if first || t.stopping || t.job.ended || t.moves >= maxMoves {
 		return
--- a/internal/supervisor/health.go
+++ b/internal/supervisor/health.go
@@ -43,9 +43,9 @@
 
 // slowness is the logarithm of the factor by which the run times of a server exceed those of an average server.
 type slowness struct {
-	runs      float64
-	current   float64
-	baseline  float64
+	runs     float64
+	current  float64
+	baseline float64
 	// deviation and job are those of the last run.
 	deviation float64
 	job       string
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -93,7 +93,7 @@
 	failedLists      int
 	// callLostAt is when a call was last found to have got no answer, 0 if none was.
 	callLostAt time.Duration
-	revision         uint64
+	revision   uint64
 
 	gateways map[structs.GatewayRef]*gateway
 	// activeRuns holds all runs that the server may have.
