Supervisor: handle the time-out of a gateway once

With unanswered stops an agent spent all its processor time on that (51,186 log lines in 2.6 s on the whole site), so that its other gateways, its server and its links timed out too, and the silence spread. The simulation now fails if a state machine asks to be woken at the current time.

--- a/internal/schedule/api.go
+++ b/internal/schedule/api.go
@@ -138,6 +138,9 @@
 	// messagingTime is the expected overhead of the messages around a run: two hops between VMs, one call to the
 	// server and one list of its runs.
 	messagingTime = 5 * time.Millisecond
+	// freeStartTime is how long a task may wait at a server that was expected to have free resources. Then another
+	// gateway was faster, and the agent's answer says what is free now.
+	freeStartTime = 40 * time.Millisecond
 	// waitShare is the share of a job's slack that it may spend waiting.
 	waitShare = 0.6
 	// chainWaitShare is the same for a job with dependent steps, whose later waits vary too. At 1.6 times the
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -417,6 +417,9 @@
 	if by := t.job.startBy(c.run + st.remaining); !t.job.mayHaveRun && s.now < by {
 		startWithin = by - s.now
 	}
+	if c.wait == 0 && (startWithin == 0 || startWithin > freeStartTime) {
+		startWithin = freeStartTime
+	}
 	srv.seq++
 	srv.unacknowledged = append(srv.unacknowledged, unacknowledgedPlacement{
 		seq: srv.seq, priority: t.job.route.Priority, need: need,
--- a/internal/schedule/simulation_test.go
+++ b/internal/schedule/simulation_test.go
@@ -214,6 +214,9 @@
 			}
 		}
 	}
+	if wake := g.machine.NextWake(); wake <= g.sim.now {
+		g.sim.t.Fatalf("%v: gateway %d asks to be woken at %v, at once", g.sim.now, g.number, wake)
+	}
 }
 
 // simulatedLink is a link between an agent and a gateway.
@@ -436,6 +439,9 @@
 			}
 		}
 	}
+	if wake := a.machine.NextWake(); wake <= a.sim.now {
+		a.sim.t.Fatalf("%v: agent %s asks to be woken at %v, at once", a.sim.now, a.id, wake)
+	}
 	if (a.machine.HasActiveRuns() || a.machine.ServerUnresponsive() || !a.machine.Reconciled() ||
 		!a.machine.TokenConfirmed()) && !a.listPending {
 		a.requestList()
--- a/internal/supervisor/flush.go
+++ b/internal/supervisor/flush.go
@@ -41,7 +41,8 @@
 		if s.now-g.lastContact < structs.GatewayTimeout {
 			continue
 		}
-		if len(g.runs) > 0 {
+		if len(g.runs) > 0 && !g.timedOut {
+			g.timedOut = true
 			s.log(LogEntry{Message: "gateway timed out, stopping its tasks", Gateway: g.ref})
 			s.cancelAll(g)
 		}
@@ -133,11 +134,12 @@
 			due = append(due, run)
 		}
 	}
-	if len(due) == 0 || s.leaseLimit() <= s.now {
-		return
-	}
 	slices.SortFunc(due, compareRuns)
 	for _, run := range due {
+		if s.leaseLimit() <= s.now {
+			run.retryAt = s.now + startRetryDelay
+			continue
+		}
 		s.requestStart(run)
 	}
 }
@@ -314,7 +316,7 @@
 		}
 	}
 	for _, g := range s.gateways {
-		if len(g.runs) > 0 {
+		if len(g.runs) > 0 && !g.timedOut {
 			sooner(g.lastContact + structs.GatewayTimeout)
 		}
 		if g.linked {
@@ -337,7 +339,7 @@
 			sooner(run.startBy)
 		}
 	}
-	if b := &s.suspension; b.reason != "" && b.probe == nil {
+	if b := &s.suspension; b.reason != "" && b.probe == nil && s.linkedGateways() > 0 {
 		sooner(max(b.until, b.probeUntil))
 	}
 	if len(s.queue) > 0 && s.startsPausedUntil > s.now {
--- a/internal/supervisor/gateways.go
+++ b/internal/supervisor/gateways.go
@@ -21,6 +21,8 @@
 	// lastContact is when the last message arrived. The end of a link sets it back to leave at most reconnectGrace until
 	// the timeout.
 	lastContact time.Duration
+	// timedOut is set once the tasks were stopped because of the timeout, until the next contact.
+	timedOut bool
 	// ack is the sequence number of the last Place message, which resource reports acknowledge.
 	ack             uint64
 	runs            map[uint64]*run
@@ -47,6 +49,7 @@
 		g = &gateway{ref: in.Gateway, runs: map[uint64]*run{}, recentEvents: map[uint64]recentEvent{}}
 		s.gateways[in.Gateway] = g
 	}
+	g.timedOut = false
 	g.linked, g.lastContact, g.serverReportDue, g.events, g.pendingResume, g.pendingStops = true, s.now, true, nil, in, nil
 	g.sentSlowness = 0
 	if s.reconciled {
@@ -178,7 +181,7 @@
 func (s *Supervisor) RecordContact(now time.Duration, ref structs.GatewayRef) {
 	s.advance(now)
 	if g := s.gateways[ref]; g != nil && g.linked {
-		g.lastContact = s.now
+		g.lastContact, g.timedOut = s.now, false
 	}
 }
 
@@ -189,6 +192,7 @@
 	if g == nil || !g.linked {
 		return
 	}
+	g.timedOut = false
 	g.lastContact, g.ack = s.now, max(g.ack, in.Seq)
 	for i := range in.Tasks {
 		t := &in.Tasks[i]
@@ -268,7 +272,7 @@
 	if g == nil {
 		return
 	}
-	g.lastContact = s.now
+	g.lastContact, g.timedOut = s.now, false
 	if g.pendingResume != nil {
 		g.pendingStops = append(g.pendingStops, in.IDs...)
 		return
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -355,3 +355,24 @@
 	h.flush()
 	require.Equal(t, []structs.PlacementEventKind{structs.PlacementLost}, h.takeEventKinds())
 }
+
+// TestTimedOutGatewayIsHandledOnce guards against an agent that is busy with nothing but a silent gateway: while a stop of
+// its tasks is not answered, each Flush handled the time-out again and asked for the next Flush at once
+// (blackcrape-ops-grown, trouble-3: 51,186 log lines in 2.6 s).
+func TestTimedOutGatewayIsHandledOnce(t *testing.T) {
+	h := newHarness(t)
+	h.place("j", 1, 1, nil)
+	h.answerStarts(AnswerOK)
+	timeouts := 0
+	wakes := 0
+	for end := h.now + 2*structs.GatewayTimeout; h.now < end; wakes++ {
+		for _, action := range h.supervisor.Flush(h.now) {
+			if entry, ok := action.(LogEntry); ok && entry.Message == "gateway timed out, stopping its tasks" {
+				timeouts++
+			}
+		}
+		h.now = max(h.supervisor.NextWake(), h.now+time.Microsecond)
+	}
+	require.Equal(t, 1, timeouts)
+	require.Less(t, wakes, 100)
+}
