Operator state: only a few agents keep the routing configuration

Change: agents get the zones; about four agents a gateway, chosen by hash, also keep the routing, and hand it to a gateway with an older state after a delay of up to 1.5 s by hash, unless it has learned the state meanwhile.

--- a/internal/platformagent/agent.go
+++ b/internal/platformagent/agent.go
@@ -48,8 +48,10 @@
 	links      *links
 	backend    *backendClient
 	metrics    agentMetrics
-	// state is the newest operator state that the agent has received. It may only be used in the event loop.
-	state structs.OperatorState
+	// stateRevision is that of the newest operator state that the agent has received, and wholeState the newest one with
+	// the routing configuration. They may only be used in the event loop.
+	stateRevision uint64
+	wholeState    structs.OperatorState
 	// drained is closed once no run is left during a graceful shutdown.
 	drained chan struct{}
 	// draining is set from the start of a graceful shutdown until drained is closed. It may only be used in the event
@@ -187,10 +189,13 @@
 
 // applyOperatorState applies an operator state if it is newer than the current one. It runs in the event loop.
 func (a *Agent) applyOperatorState(now time.Duration, state *structs.OperatorState) {
-	if state.Revision <= a.state.Revision {
+	if len(state.Routing) > 0 && state.Revision > a.wholeState.Revision {
+		a.wholeState = *state
+	}
+	if state.Revision <= a.stateRevision {
 		return
 	}
-	a.state = *state
+	a.stateRevision = state.Revision
 	zoneOut := false
 	for _, zone := range state.ZonesOut {
 		zoneOut = zoneOut || zone == a.options.Settings.Zone
--- a/internal/platformagent/agent_test.go
+++ b/internal/platformagent/agent_test.go
@@ -93,3 +93,19 @@
 	a.backend.heartbeatReceived(platform.Heartbeat{ID: "s", StartTime: 10})
 	require.False(t, a.backend.hasServer(), "a late heartbeat of a server that has left")
 }
+
+// TestZonesWithoutRoutingKeepTheWholeState guards against an agent that loses the routing configuration, which it keeps for
+// gateways, when it learns of a newer state without it.
+func TestZonesWithoutRoutingKeepTheWholeState(t *testing.T) {
+	a := New(Options{
+		Settings: platform.Settings{Name: "a", Zone: "z", StoreAddress: "127.0.0.1:1", ServerAddress: "127.0.0.1:1"},
+		Self:     structs.AgentRef{ID: "a", Incarnation: 1}, Logger: log.NewNopLogger(), Metrics: telemetry.NewMetrics("test", nil),
+	})
+	now := a.loop.Now()
+	a.applyOperatorState(now, &structs.OperatorState{Revision: 5, Routing: []byte("routing")})
+	a.applyOperatorState(now, &structs.OperatorState{Revision: 7, ZonesOut: []string{"z"}})
+	require.EqualValues(t, 7, a.stateRevision)
+	require.EqualValues(t, 5, a.wholeState.Revision)
+	a.applyOperatorState(now, &structs.OperatorState{Revision: 7, Routing: []byte("newer"), ZonesOut: []string{"z"}})
+	require.EqualValues(t, 7, a.wholeState.Revision)
+}
--- a/internal/platformagent/links.go
+++ b/internal/platformagent/links.go
@@ -69,6 +69,10 @@
 	closed        bool                  // guarded by links.mu
 	dropped       bool                  // set by closeLink: later messages are ignored; used in the event loop only
 	stateExchange structs.StateExchange // used in the event loop only
+	// gatewayRevision is the revision of the gateway's operator state as last heard. stateDue is set while the agent's
+	// newer state waits to be sent. Both are used in the event loop only.
+	gatewayRevision uint64
+	stateDue        bool
 }
 
 func newLinks(a *Agent) *links {
@@ -224,6 +228,7 @@
 		a.supervisor.Stop(now, c.gateway, m)
 	case *structs.OperatorState:
 		c.stateExchange.Received(m.Revision)
+		c.gatewayRevision = max(c.gatewayRevision, m.Revision)
 		a.applyOperatorState(now, m)
 	case *structs.Heartbeat:
 		c.links.addMembers(m.GatewayAddresses)
@@ -231,14 +236,25 @@
 	}
 }
 
-// sendNewerState sends the operator state to a gateway that has an older one, for example because it has started while
-// the store was unavailable. It runs in the event loop.
+// sendNewerState sends the whole operator state, if this agent keeps it, to a gateway that has an older one, for example
+// because it has started while the store was unavailable. It waits first, since other agents do the same. It runs in the
+// event loop.
 func (c *conn) sendNewerState(revision uint64) {
-	state := c.links.agent.state
-	if c.stateExchange.ShouldSend(state.Revision, revision) {
-		// If sending fails, the link ends, and the next one compares the revisions again.
-		_ = c.link.Send(link.Control, structs.TypeOperatorState, &state)
+	a := c.links.agent
+	c.gatewayRevision = max(c.gatewayRevision, revision)
+	if c.stateDue || a.wholeState.Revision <= c.gatewayRevision {
+		return
 	}
+	c.stateDue = true
+	time.AfterFunc(structs.StateDelay(c.gateway.ID, a.options.Self.ID), func() {
+		a.loop.Post(func(time.Duration) {
+			c.stateDue = false
+			if state := a.wholeState; c.stateExchange.ShouldSend(state.Revision, c.gatewayRevision) {
+				// If sending fails, the link ends, and the next one compares the revisions again.
+				_ = c.link.Send(link.Control, structs.TypeOperatorState, &state)
+			}
+		})
+	})
 }
 
 // setGateway stores which gateway a link leads to.
--- a/internal/platformgateway/agents.go
+++ b/internal/platformgateway/agents.go
@@ -126,8 +126,12 @@
 
 // sendNewerState sends the operator state to an agent that knows an older revision. It runs in the event loop.
 func (c *conn) sendNewerState(revision uint64) {
-	state := c.agents.gateway.operator.state
+	g := c.agents.gateway
+	state := g.operator.state
 	if c.stateExchange.ShouldSend(state.Revision, revision) {
+		if !structs.KeepsState(g.options.Self.ID, c.agent.ID, c.agents.count()) {
+			state.Routing = nil
+		}
 		// A failed link is closed, and the next one compares the revisions again.
 		_ = c.link.Send(link.Control, structs.TypeOperatorState, &state)
 	}
@@ -148,6 +152,12 @@
 	})
 }
 
+func (a *agentLinks) count() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.conns)
+}
+
 func (a *agentLinks) find(id structs.AgentID) *conn {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/structs/placement_messages.go
+++ b/internal/structs/placement_messages.go
@@ -215,7 +215,8 @@
 }
 
 // OperatorState is what the operators have configured, as stored at a revision. A process applies a state only if its
-// revision is higher than that of its own.
+// revision is higher than that of its own. Agents need the zones; Routing is empty for those that do not keep it for
+// gateways (KeepsState).
 type OperatorState struct {
 	_        struct{} `cbor:",toarray"`
 	Revision uint64
@@ -225,26 +226,6 @@
 	ZonesOut []string
 }
 
-// StateExchange decides when one side of a link sends its operator state to the other. The zero value is for a new
-// link. It is not safe for concurrent use.
-type StateExchange struct {
-	// exchanged is the highest revision that was sent or received on the link.
-	exchanged uint64
-}
-
-// Received records the revision of a state that the other side has sent.
-func (e *StateExchange) Received(revision uint64) { e.exchanged = max(e.exchanged, revision) }
-
-// ShouldSend reports whether to send the own state, of revision own, to the other side, which has reported the revision
-// other. If it returns true, the state counts as sent.
-func (e *StateExchange) ShouldSend(own, other uint64) bool {
-	if other >= own || e.exchanged >= own {
-		return false
-	}
-	e.exchanged = own
-	return true
-}
-
 // Heartbeat is sent on a link when there is nothing else to send.
 type Heartbeat struct {
 	_        struct{} `cbor:",toarray"`
