--- a/internal/supervisor/api.go
+++ b/internal/supervisor/api.go
@@ -158,6 +158,9 @@
 	BackfillLimit = 30 * time.Millisecond
 	// StopRetryInterval is the time until a stop that was not answered is sent again.
 	StopRetryInterval = 100 * time.Millisecond
+	// unansweredStopDelay replaces it after a call without an answer, whose time-out has usually passed already. A server
+	// that does not listen fails the call at once.
+	unansweredStopDelay = 20 * time.Millisecond
 	// tokenStep is added to the fencing token after the server has seen a higher one. It is one second in the unit of
 	// the first token, so that a few steps make up for a clock that was set back.
 	tokenStep = 1000
@@ -174,9 +177,11 @@
 	// then its list shows what runs.
 	noResourcesPause = 20 * time.Millisecond
 	// startRetryDelay is when a start that was not answered is sent again, with the same run number, so that the server
-	// carries out at most one of the requests. Servers on the same VM answer within a few ms. maxStartTries bounds the
-	// requests within the time-out of the first.
-	startRetryDelay = 12 * time.Millisecond
+	// carries out at most one of the requests. Servers on the same VM answer within a few ms, but an agent that is short of
+	// processor time reads the answer later, and each request at the same time costs a connection. Once a call was lost,
+	// lossyRetryDelay applies. maxStartTries bounds the requests within the time-out of the first.
+	startRetryDelay = 35 * time.Millisecond
+	lossyRetryDelay = 12 * time.Millisecond
 	maxStartTries   = 3
 	// lossMemory is how long after a lost call requests for the list are sent twice.
 	lossMemory = 2 * time.Second
--- a/internal/supervisor/flush.go
+++ b/internal/supervisor/flush.go
@@ -119,12 +119,19 @@
 
 func (s *Supervisor) requestStart(run *run) {
 	run.tries++
-	run.retryAt = s.now + startRetryDelay
+	run.retryAt = s.now + s.startRetryDelay()
 	s.actions = append(s.actions, CallStart{
 		RunRef: run.RunRef, Payload: run.payload, Token: s.token, LeaseEnd: s.grantLease(),
 	})
 }
 
+func (s *Supervisor) startRetryDelay() time.Duration {
+	if s.CallsGetLost(s.now) {
+		return lossyRetryDelay
+	}
+	return startRetryDelay
+}
+
 // retryStarts repeats the starts that were not answered in time: one lost answer must not delay a short task until the
 // time-out.
 func (s *Supervisor) retryStarts() {
@@ -137,7 +144,7 @@
 	slices.SortFunc(due, compareRuns)
 	for _, run := range due {
 		if s.leaseLimit() <= s.now {
-			run.retryAt = s.now + startRetryDelay
+			run.retryAt = s.now + s.startRetryDelay()
 			continue
 		}
 		s.requestStart(run)
--- a/internal/supervisor/runs.go
+++ b/internal/supervisor/runs.go
@@ -122,7 +122,7 @@
 	run.nextStopAt = s.now + StopRetryInterval
 	if answer == AnswerNone {
 		s.callLostAt = s.now
-		run.nextStopAt = s.now // the time-out has passed
+		run.nextStopAt = s.now + unansweredStopDelay
 	}
 }
 
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -376,3 +376,24 @@
 	require.Equal(t, 1, timeouts)
 	require.Less(t, wakes, 100)
 }
+
+// TestStopsOfDeadServerArePaced guards against an agent that calls a server which does not listen in a loop: each call costs
+// a connection and fails at once (blackcrape-ops-grown, trouble-1: 14,000 connections in 14 s).
+func TestStopsOfDeadServerArePaced(t *testing.T) {
+	h := newHarness(t)
+	h.place("j", 1, 1, nil)
+	h.answerStarts(AnswerOK)
+	h.supervisor.Stop(h.now, h.gateway, &structs.Stop{IDs: []uint64{1}})
+	calls := 0
+	for end := h.now + 500*time.Millisecond; h.now < end; h.now += time.Millisecond {
+		h.supervisor.RecordContact(h.now, h.gateway)
+		h.flush()
+		for _, ref := range h.stops {
+			calls++
+			h.supervisor.StopAnswered(h.now, ref, AnswerNone)
+		}
+		h.stops = nil
+	}
+	require.LessOrEqual(t, calls, 30)
+	require.GreaterOrEqual(t, calls, 5)
+}
