--- a/internal/platformgateway/membership.go
+++ b/internal/platformgateway/membership.go
@@ -23,6 +23,9 @@
 	// renewRetryDelay is the time until the next attempt after a failed one. After all processes have crashed at
 	// once, agents find a gateway only by its key.
 	renewRetryDelay = 200 * time.Millisecond
+	// maxMissingReads is the number of consecutive reads without this gateway's key after which it is written again. A
+	// read may be seconds old.
+	maxMissingReads = 5
 	// readInterval is the time between reads of the list of gateways. A new gateway needs agents before it can serve,
 	// and they learn of it from the list.
 	readInterval = time.Second
@@ -35,6 +38,9 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	lease store.LeaseID
+	// missing counts the consecutive reads in which this gateway's key was missing although its lease is renewed. It is
+	// used by run only.
+	missing int
 }
 
 func (m *membership) key() string { return platform.GatewayPrefix + string(m.gateway.options.Self.ID) }
@@ -105,13 +111,28 @@
 		addresses = append(addresses, string(entry.Value))
 		found = found || entry.Key == m.key()
 	}
-	if !found {
+	m.missing++
+	if found {
+		m.missing = 0
+	} else {
 		addresses = append(addresses, m.gateway.options.Settings.LinkAddress)
 	}
+	if m.missing >= maxMissingReads {
+		_ = level.Warn(m.gateway.logger).Log("msg", "key of this gateway is missing in the store, registering again")
+		m.missing = 0
+		m.forgetLease()
+	}
 	slices.Sort(addresses)
 	m.gateway.loop.Post(func(time.Duration) { m.gateway.scheduler.SetGatewayAddresses(addresses) })
 }
 
+// forgetLease makes the next renewal write the key under a new lease.
+func (m *membership) forgetLease() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lease = 0
+}
+
 // leave revokes the lease at a graceful shutdown.
 func (m *membership) leave() {
 	m.mu.Lock()
--- /dev/null
+++ b/internal/schedule/malformed_test.go
@@ -0,0 +1,56 @@
+package schedule_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"rosedrift.example/rosedrift/internal/schedule"
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// TestArbitraryMessagesDoNotPanic guards against one message with unexpected values, from an agent of another build or a
+// faulty one, that takes a gateway down with all its jobs.
+func TestArbitraryMessagesDoNotPanic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Second
+		s := schedule.New(now, schedule.Options{Self: structs.GatewayRef{ID: "g", Incarnation: 1}, Zone: "z", RunLease: time.Second})
+		agents := []structs.AgentID{"a", "b"}
+		for _, id := range agents {
+			s.Linked(now, id)
+			s.HandleServerReport(now, id, &structs.ServerReport{
+				Zone: "z", Service: "service", Open: true, Capacity: structs.Resources{CPU: 4000, MemoryMB: 100},
+			})
+			s.HandleResourceReport(now, id, &structs.ResourceReport{Free: structs.Resources{CPU: 4000, MemoryMB: 100}})
+		}
+		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "pause")) * time.Millisecond
+			id := rapid.SampledFrom(agents).Draw(t, "agent")
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				report := rapid.Make[structs.ServerReport]().Draw(t, "server report")
+				s.HandleServerReport(now, id, &report)
+			case 1:
+				report := rapid.Make[structs.ResourceReport]().Draw(t, "resource report")
+				s.HandleResourceReport(now, id, &report)
+			case 2:
+				events := rapid.Make[structs.PlacementEvents]().Draw(t, "events")
+				for j := range events.Events {
+					events.Events[j].ID = rapid.Uint64Range(0, 8).Draw(t, "id")
+				}
+				s.HandlePlacementEvents(now, id, &events)
+			case 3:
+				s.HandleServerHealth(now, id, &structs.ServerHealth{LogSlowness: rapid.SampledFrom([]float64{
+					math.NaN(), math.Inf(1), math.Inf(-1), 0, 1e300,
+				}).Draw(t, "slowness")})
+			default:
+				job := testJob(string(rune('a'+i)), 2, structs.Resources{CPU: 1000, MemoryMB: 10})
+				s.Submit(now, schedule.Submission{Waiter: schedule.Waiter(i), Job: job, Route: testRoute(0), Timeout: time.Second})
+			}
+			s.Flush(now)
+			s.NextWake()
+		}
+	})
+}
