--- a/internal/supervisor/api.go
+++ b/internal/supervisor/api.go
@@ -153,6 +153,11 @@
 	// ReportInterval, multiplied by the number of linked gateways, is the shortest time between resource reports to one
 	// gateway that carry no event. So an agent sends at most 333 of them a second, whatever the number of gateways.
 	ReportInterval = 3 * time.Millisecond
+	// Beyond fullViewGateways linked gateways, the interval is longer, in proportion to their number, for a gateway that
+	// has no tasks here and has placed none within activeTime. With 12 gateways, three times the interval made 3 to 4 in
+	// 100 jobs more late; with 35, reports were two thirds of all messages.
+	fullViewGateways = 12
+	activeTime       = 500 * time.Millisecond
 	// BackfillLimit is how long smaller tasks may start before an earlier queued task that does not fit. After that
 	// time, resources are kept free, so that large tasks do not starve.
 	BackfillLimit = 30 * time.Millisecond
--- a/internal/supervisor/flush.go
+++ b/internal/supervisor/flush.go
@@ -216,14 +216,24 @@
 
 func (s *Supervisor) sendMessages() {
 	s.slowness.recover(s.now)
-	interval := time.Duration(s.linkedGateways()) * ReportInterval
+	linked := s.linkedGateways()
 	for _, g := range s.sortedGateways() {
 		if g.linked {
-			s.sendTo(g, interval)
+			s.sendTo(g, s.reportInterval(g, linked))
 		}
 	}
 }
 
+// reportInterval returns the shortest time between resource reports to a gateway, other than with an event. linked is the
+// number of linked gateways. With many gateways most of them place their tasks elsewhere and need only a rough view.
+func (s *Supervisor) reportInterval(g *gateway, linked int) time.Duration {
+	interval := time.Duration(linked) * ReportInterval
+	if len(g.runs) == 0 && s.now-g.placedAt >= activeTime {
+		interval = interval * time.Duration(max(linked, fullViewGateways)) / fullViewGateways
+	}
+	return min(interval, structs.IdleHeartbeatInterval)
+}
+
 // linkedGateways returns the number of linked gateways.
 func (s *Supervisor) linkedGateways() int {
 	count := 0
--- a/internal/supervisor/gateways.go
+++ b/internal/supervisor/gateways.go
@@ -24,10 +24,12 @@
 	// timedOut is set once the tasks were stopped because of the timeout, until the next contact.
 	timedOut bool
 	// ack is the sequence number of the last Place message, which resource reports acknowledge.
-	ack             uint64
-	runs            map[uint64]*run
-	recentEvents    map[uint64]recentEvent
-	events          []structs.PlacementEvent
+	ack          uint64
+	runs         map[uint64]*run
+	recentEvents map[uint64]recentEvent
+	events       []structs.PlacementEvent
+	// placedAt is when the gateway last placed tasks here.
+	placedAt        time.Duration
 	reportDue       bool // the resources have changed since the last report
 	nextReportAt    time.Duration
 	sentAt          time.Duration
@@ -193,7 +195,7 @@
 		return
 	}
 	g.timedOut = false
-	g.lastContact, g.ack = s.now, max(g.ack, in.Seq)
+	g.lastContact, g.placedAt, g.ack = s.now, s.now, max(g.ack, in.Seq)
 	for i := range in.Tasks {
 		t := &in.Tasks[i]
 		if g.runs[t.ID] != nil {
