--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -459,6 +459,7 @@
 	h.ID = o.lastID
 	o.handovers[h.ID] = answer
 	o.mu.Unlock()
+	defer o.forgetHandover(h.ID)
 	if err := o.link.Send(link.Bulk, structs.TypeHandover, h); err != nil {
 		return false
 	}
@@ -470,6 +471,12 @@
 	}
 }
 
+func (o *outbound) forgetHandover(id uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.handovers, id)
+}
+
 func (o *outbound) handleHandoverReply(r *structs.HandoverReply) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/gateway/pending.go
+++ b/internal/gateway/pending.go
@@ -38,7 +38,7 @@
 
 	// unresolved holds the targets to which the body was sent and which have not confirmed what became of it.
 	unresolved map[target]bool
-	// suspendedSince is the time of the first reply from a suspended owner.
+	// suspendedSince is the time of the first reply from a suspended owner since an owner last accepted the job.
 	suspendedSince time.Time
 }
 
@@ -165,6 +165,7 @@
 		return true
 	case reply.Status != nil:
 		delete(j.unresolved, to)
+		j.suspendedSince = time.Time{}
 		j.status.Store(reply.Status)
 		j.accept()
 		return false
--- a/internal/gateway/pending_test.go
+++ b/internal/gateway/pending_test.go
@@ -41,3 +41,15 @@
 	require.False(t, j.handleReply(&structs.ForwardReply{Status: &structs.JobStatus{}}, first, nil))
 	require.Equal(t, structs.OutcomeMayHaveRun, j.timeoutReply().Problem.Outcome, "an accepted job")
 }
+
+// TestSuspensionOfALaterOwnerIsWaitedFor guards against a job that fails at once when its owner is suspended for the second
+// time: an owner that has accepted the job in between was not suspended.
+func TestSuspensionOfALaterOwnerIsWaitedFor(t *testing.T) {
+	j := &pendingJob{accepted: make(chan struct{}), done: make(chan struct{}), unresolved: map[target]bool{}}
+	to := target{owner: structs.GatewayRef{ID: "g1", Incarnation: 1}, epoch: 1}
+	suspended := &structs.ForwardReply{Problem: &structs.Problem{Code: structs.CodeUnavailable, Outcome: structs.OutcomeNotRun}}
+	require.False(t, j.handleReply(suspended, to, nil))
+	j.suspendedSince = time.Now().Add(-suspendedRetryPeriod)
+	require.False(t, j.handleReply(&structs.ForwardReply{Status: &structs.JobStatus{}}, to, nil))
+	require.False(t, j.handleReply(suspended, to, nil), "the period of a new suspension has only begun")
+}
