--- a/internal/schedule/simulation_test.go
+++ b/internal/schedule/simulation_test.go
@@ -214,9 +214,7 @@
 			}
 		}
 	}
-	if wake := g.machine.NextWake(); wake <= g.sim.now {
-		g.sim.t.Fatalf("%v: gateway %d asks to be woken at %v, at once", g.sim.now, g.number, wake)
-	}
+	g.sim.checkWake(strconv.Itoa(g.number), g.machine.NextWake())
 }
 
 // simulatedLink is a link between an agent and a gateway.
@@ -439,9 +437,7 @@
 			}
 		}
 	}
-	if wake := a.machine.NextWake(); wake <= a.sim.now {
-		a.sim.t.Fatalf("%v: agent %s asks to be woken at %v, at once", a.sim.now, a.id, wake)
-	}
+	a.sim.checkWake(string(a.id), a.machine.NextWake())
 	if (a.machine.HasActiveRuns() || a.machine.ServerUnresponsive() || !a.machine.Reconciled() ||
 		!a.machine.TokenConfirmed()) && !a.listPending {
 		a.requestList()
@@ -633,6 +629,13 @@
 	}
 }
 
+// checkWake fails if a state machine asks to be woken at once after its Flush, which would keep its process busy.
+func (sim *simulation) checkWake(name string, wake time.Duration) {
+	if wake <= sim.now {
+		sim.t.Fatalf("%v: %s asks to be woken at %v, at once", sim.now, name, wake)
+	}
+}
+
 func (sim *simulation) log(task, format string, args ...any) {
 	sim.taskLog[task] = append(sim.taskLog[task], fmt.Sprintf("%v ", sim.now)+fmt.Sprintf(format, args...))
 }
--- a/internal/supervisor/flush.go
+++ b/internal/supervisor/flush.go
@@ -343,19 +343,7 @@
 			}
 		}
 	}
-	for _, run := range s.activeRuns {
-		if run.state == stopping && !run.stopConfirmed {
-			sooner(run.nextStopAt)
-		}
-		if run.state == starting && run.tries < maxStartTries && s.canRun(run) {
-			sooner(run.retryAt)
-		}
-	}
-	for _, run := range s.queue {
-		if run.startBy > 0 {
-			sooner(run.startBy)
-		}
-	}
+	sooner(s.nextRunWake(wake))
 	if b := &s.suspension; b.reason != "" && b.probe == nil && s.linkedGateways() > 0 {
 		sooner(max(b.until, b.probeUntil))
 	}
@@ -371,6 +359,25 @@
 	return max(wake, s.now)
 }
 
+// nextRunWake returns when the first of the active and queued runs needs a Flush, or latest if none does before.
+func (s *Supervisor) nextRunWake(latest time.Duration) time.Duration {
+	wake := latest
+	for _, run := range s.activeRuns {
+		switch {
+		case run.state == stopping && !run.stopConfirmed:
+			wake = min(wake, run.nextStopAt)
+		case run.state == starting && run.tries < maxStartTries && s.canRun(run):
+			wake = min(wake, run.retryAt)
+		}
+	}
+	for _, run := range s.queue {
+		if run.startBy > 0 {
+			wake = min(wake, run.startBy)
+		}
+	}
+	return wake
+}
+
 // HasUnansweredCalls reports whether a start or list request was not answered since the last list, so that the server
 // may be unresponsive.
 func (s *Supervisor) HasUnansweredCalls() bool { return s.unansweredStarts+s.failedLists > 0 }
