--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -311,8 +311,8 @@
 		return
 	}
 	late := s.now > j.startBy(s.fastestRunTime(j))
-	if late && !j.late {
-		j.late, j.nextScan = true, 0 // servers on which the job will be late are suitable now
+	if late {
+		j.nextScan = 0 // servers on which the job will be late are suitable now
 	}
 	unplaced := false
 	for _, st := range j.steps {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -88,8 +88,6 @@
 	mayHaveRun bool
 	placed     int
 	ended      bool
-	// late is set once the job can no longer be expected to be in time.
-	late bool
 	// nextScan is when all servers are considered again for the waiting tasks. Before that, only those that have changed.
 	nextScan time.Duration
 	// resubmissions holds submissions of the same job that arrived while it was being stopped.
