--- a/internal/supervisor/health.go
+++ b/internal/supervisor/health.go
@@ -12,8 +12,8 @@
 const (
 	// slownessWeight is the weight of a run in the moving average of the slowness, about 12 runs.
 	slownessWeight = 0.08
-	// jumpWeight replaces it after two runs of different jobs in a row that deviate by more than jumpDeviation in the same direction. Run
-	// times vary by a standard deviation of 0.57 of the logarithm around their estimates.
+	// jumpWeight replaces it after two runs of different jobs in a row that deviate by more than jumpDeviation in the
+	// same direction. Run times vary by a standard deviation of 0.57 of the logarithm around their estimates.
 	jumpWeight    = 0.35
 	jumpDeviation = 0.7
 	// baselineWeight is the weight of a run in the long-term slowness of the server.
