Scheduler: refuse at once what no server can run

Load pattern: a burst of jobs that can never be done. Cause: a job too large for every server, or with a label that none has, waited until it could no longer be in time (0.6 of its slack) and got a Retry-After that brings its caller back in vain. Change: it is refused at the first scan of all servers, unless a server was found within the last second or none accepts tasks; the answer has code unservable and no Retry-After. TestUnservableJobsAreRefusedAtOnce fails on the code before.

--- a/internal/platformgateway/requests.go
+++ b/internal/platformgateway/requests.go
@@ -238,7 +238,11 @@
 	case schedule.OutcomeFailed:
 		answerJSON(w, platform.JobAnswer{State: platform.JobFailed})
 	case schedule.OutcomeRefused:
-		refuse(w, http.StatusServiceUnavailable, "overloaded", answer.Reason, answer.RetryAfter)
+		code := "overloaded"
+		if answer.Reason == schedule.ReasonUnservable {
+			code = "unservable"
+		}
+		refuse(w, http.StatusServiceUnavailable, code, answer.Reason, answer.RetryAfter)
 	case schedule.OutcomeLost:
 		refuse(w, http.StatusGatewayTimeout, "deadline_exceeded", answer.Reason, 0)
 	}
--- a/internal/schedule/api.go
+++ b/internal/schedule/api.go
@@ -98,7 +98,9 @@
 const (
 	ReasonNoResources = "no room in time"
 	ReasonDeadline    = "deadline"
-	ReasonCallerLeft  = "caller left"
+	// ReasonUnservable: no known server is large enough for a task of the job, or has the label that it requires.
+	ReasonUnservable = "no server can run it"
+	ReasonCallerLeft = "caller left"
 )
 
 // LogEntry asks the I/O layer to log a decision. Fields that do not apply are zero.
--- a/internal/schedule/load_test.go
+++ b/internal/schedule/load_test.go
@@ -361,3 +361,38 @@
 		lastEnd = end
 	}
 }
+
+// TestUnservableJobsAreRefusedAtOnce guards against jobs that no server can ever run, because they are too large or need a
+// label that none has, and that wait until they are late. The load is a burst of such jobs. Servers that may still come
+// back count, and nothing is concluded while servers are still being found.
+func TestUnservableJobsAreRefusedAtOnce(t *testing.T) {
+	w := newWorkload(t)
+	large := structs.Resources{CPU: 9000, MemoryMB: 10}
+	submit := func(id string, change func(*structs.StepSpec)) {
+		job := testJob(id, 2, structs.Resources{CPU: 1000, MemoryMB: 10})
+		change(&job.Steps[0])
+		w.submittedAt[id], w.work[id] = w.sim.now, 60*time.Millisecond
+		w.sim.call(w.sim.gateways[0], job, testRoute(0))
+	}
+	tooLarge := func(s *structs.StepSpec) { s.Need = large }
+	submit("early", tooLarge)
+	w.sim.advance(20 * time.Millisecond)
+	require.Empty(t, w.sim.answers["early"], "servers are still being found")
+	w.sim.advance(2 * time.Second)
+	for i := range 50 {
+		submit(fmt.Sprintf("large-%d", i), tooLarge)
+		submit(fmt.Sprintf("label-%d", i), func(s *structs.StepSpec) { s.Label = "none" })
+	}
+	submit("fits", func(*structs.StepSpec) {})
+	w.sim.advance(10 * time.Millisecond)
+	for id, submitted := range w.submittedAt {
+		if id == "early" || id == "fits" {
+			continue
+		}
+		require.Len(t, w.sim.answers[id], 1, id)
+		require.Equal(t, schedule.OutcomeRefused, w.sim.answers[id][0].Outcome)
+		require.LessOrEqual(t, w.sim.answeredAt[id]-submitted, 5*time.Millisecond)
+	}
+	w.sim.advance(time.Second)
+	require.Equal(t, schedule.OutcomeCompleted, w.sim.answers["fits"][0].Outcome)
+}
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -236,6 +236,9 @@
 	// first for a task.
 	localSample  = 24
 	remoteSample = 16
+	// discoveryTime is how long after the last new server the known servers count as all there are. A site that starts
+	// finds its servers within a second.
+	discoveryTime = time.Second
 	// scanInterval is the time after which all servers are considered again for a waiting task: what a server may get
 	// also changes with time.
 	scanInterval = 5 * time.Millisecond
@@ -337,12 +340,31 @@
 	}
 	if s.now >= j.nextScan {
 		j.nextScan = s.now + scanInterval
+		if !j.begun() && slices.ContainsFunc(j.steps, func(st *step) bool { return s.unservable(j, st) }) {
+			s.end(j, OutcomeRefused, ReasonUnservable, 0)
+			return
+		}
 	}
 	if late && !j.begun() {
 		s.end(j, OutcomeRefused, ReasonNoResources, s.retryAfter())
 	}
 }
 
+// unservable reports whether no known server can ever run a task of a step. Nothing is concluded while new servers are
+// being found, or if no server accepts tasks.
+func (s *Scheduler) unservable(j *job, st *step) bool {
+	if s.now-s.serverFoundAt < discoveryTime || !s.HasUsableServer() {
+		return false
+	}
+	return !slices.ContainsFunc(s.sortedServers, func(srv *server) bool {
+		r := &srv.report
+		if r.Service != j.route.Service {
+			return r.Service == "" // not known yet
+		}
+		return r.Capacity.Covers(st.spec.Need) && (st.spec.Label == "" || slices.Contains(r.Labels, st.spec.Label))
+	})
+}
+
 // ready reports whether all steps that a step depends on have completed.
 func (s *Scheduler) ready(j *job, st *step) bool {
 	for _, before := range st.spec.After {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -139,6 +139,8 @@
 	now           time.Duration
 	servers       map[structs.AgentID]*server
 	sortedServers []*server
+	// serverFoundAt is when a server was last linked for the first time.
+	serverFoundAt time.Duration
 	// serversByZone holds the servers of each availability zone in the order of their ids.
 	serversByZone map[string][]*server
 	// localOffset and remoteOffset are where the next samples of servers begin, see sampleServers.
@@ -446,7 +448,7 @@
 		srv = &server{
 			id: id, slowness: 1, tasks: map[uint64]*task{}, fullUntil: map[int]time.Duration{},
 		}
-		s.servers[id] = srv
+		s.servers[id], s.serverFoundAt = srv, s.now
 		s.sortedServers = insertServer(s.sortedServers, srv)
 		s.serversByZone[srv.report.Zone] = insertServer(s.serversByZone[srv.report.Zone], srv)
 	}
