--- a/internal/supervisor/health.go
+++ b/internal/supervisor/health.go
@@ -157,22 +157,7 @@
 	if b.reason == "" || s.now < b.until || b.probe != nil || (b.probing && s.now < b.probeUntil) {
 		return
 	}
-	var first, next *gateway
-	for _, g := range s.sortedGateways() {
-		switch {
-		case !g.linked:
-		case first == nil:
-			first = g
-			fallthrough
-		default:
-			if next == nil && compareGateways(g.ref, b.gateway) > 0 {
-				next = g
-			}
-		}
-	}
-	if next == nil {
-		next = first
-	}
+	next := s.nextGateway(b.gateway)
 	if next == nil {
 		return
 	}
@@ -183,6 +168,21 @@
 	next.serverReportDue = true
 }
 
+// nextGateway returns the linked gateway that follows another one in turn, or nil if none is linked.
+func (s *Supervisor) nextGateway(after structs.GatewayRef) *gateway {
+	var first *gateway
+	for _, g := range s.sortedGateways() {
+		switch {
+		case !g.linked:
+		case compareGateways(g.ref, after) > 0:
+			return g
+		case first == nil:
+			first = g
+		}
+	}
+	return first
+}
+
 // closedTo returns why a gateway may not place tasks, or "" if it may.
 func (s *Supervisor) closedTo(g *gateway) string {
 	reason := s.closedReason()
