Agent: report a crash of its server with the runs that it had

A crash is a refused connection or a new start time of a server that was in touch and had not announced its end; silence, lost answers, a drain and a deregistration are none, and an incarnation that answers again withdraws the report. Gateways ignore the new message type so far.

--- a/internal/platformagent/agent.go
+++ b/internal/platformagent/agent.go
@@ -60,14 +60,14 @@
 }
 
 type agentMetrics struct {
-	starts, done, failed, lost, refused tally.Counter
-	runTime                             tally.Histogram
+	starts, done, failed, lost, refused, crashes tally.Counter
+	runTime                                      tally.Histogram
 }
 
 func newMetrics(scope tally.Scope) agentMetrics {
 	return agentMetrics{
 		starts: scope.Counter("starts"), done: scope.Counter("runs_done"), failed: scope.Counter("runs_failed"),
-		lost: scope.Counter("runs_lost"), refused: scope.Counter("placements_refused"),
+		lost: scope.Counter("runs_lost"), refused: scope.Counter("placements_refused"), crashes: scope.Counter("server_crashes"),
 		runTime: scope.Histogram("run_seconds", tally.MustMakeExponentialDurationBuckets(4*time.Millisecond, 2, 12)),
 	}
 }
@@ -183,6 +183,9 @@
 
 // writeLog writes a log line of the supervisor.
 func (a *Agent) writeLog(entry supervisor.LogEntry) {
+	if entry.Message == supervisor.MessageCrashed {
+		a.metrics.crashes.Inc(1)
+	}
 	_ = level.Info(a.logger).Log("msg", entry.Message, "task", entry.Task, "run", entry.Run, "gateway", entry.Gateway.ID,
 		"detail", entry.Detail)
 }
--- a/internal/structs/placement_messages.go
+++ b/internal/structs/placement_messages.go
@@ -18,6 +18,8 @@
 	TypeHeartbeat
 	// From agent to gateway. Gateways that do not know the type ignore it.
 	TypeServerHealth
+	// From agent to gateway. Gateways that do not know the type ignore it.
+	TypeCrashReport
 )
 
 // Times and limits that gateways and agents share.
@@ -234,3 +236,28 @@
 	// had them. Otherwise it is empty.
 	GatewayAddresses []string
 }
+
+// CrashReport says that the process of a backend server has ended without notice while it had runs. Server and StartTime
+// identify the incarnation that has ended. Agents send it to all gateways before the events about the lost runs, and on new
+// links for some time after that.
+type CrashReport struct {
+	_         struct{} `cbor:",toarray"`
+	Server    string
+	StartTime int64
+	// Age is the time since the crash was found.
+	Age time.Duration
+	// Runs holds the runs that the server had. An empty list withdraws an earlier report: the same incarnation has answered
+	// again.
+	Runs []CrashedRun
+}
+
+// CrashedRun is one run that a server had when it crashed.
+type CrashedRun struct {
+	_     struct{} `cbor:",toarray"`
+	Job   string
+	Step  int
+	Index int
+	Run   uint32
+	// Age is the time from the request to start the run to the crash.
+	Age time.Duration
+}
--- a/internal/supervisor/api.go
+++ b/internal/supervisor/api.go
@@ -112,6 +112,9 @@
 // handled must be discarded.
 type CloseLink struct{ Gateway structs.GatewayRef }
 
+// MessageCrashed is the log message about a server whose process has ended without notice.
+const MessageCrashed = "server crashed"
+
 // LogEntry asks the I/O layer to log a decision.
 type LogEntry struct {
 	Message string
--- a/internal/supervisor/flush.go
+++ b/internal/supervisor/flush.go
@@ -247,6 +247,7 @@
 
 // sendTo sends a gateway the messages that are due. Resource reports without an event are at least interval apart.
 func (s *Supervisor) sendTo(g *gateway, interval time.Duration) {
+	s.sendNotices(g)
 	if g.serverReportDue {
 		g.serverReportDue, g.reportDue = false, true
 		report := s.ServerReport()
--- a/internal/supervisor/gateways.go
+++ b/internal/supervisor/gateways.go
@@ -39,6 +39,8 @@
 	// pendingResume and pendingStops keep the gateway's first message and its stops until the runs are reconciled.
 	pendingResume *structs.Resume
 	pendingStops  []uint64
+	// lastNotice is the number of the last notice that was sent on the link.
+	lastNotice uint64
 }
 
 // GatewayLinked handles the first message of a gateway on a new link. The message lists the tasks that, according to
@@ -53,7 +55,7 @@
 	}
 	g.timedOut = false
 	g.linked, g.lastContact, g.serverReportDue, g.events, g.pendingResume, g.pendingStops = true, s.now, true, nil, in, nil
-	g.sentSlowness = 0
+	g.sentSlowness, g.lastNotice = 0, 0
 	if s.reconciled {
 		s.reconcileTasks(g)
 	}
@@ -129,6 +131,7 @@
 	ref := RunRef{Task: s.options.TaskName(t.Job, t.Step, t.Index), Run: t.Run}
 	if found := s.findUnclaimedRun(ref); found != nil {
 		found.gateway, found.id, found.need, found.stopBy = g, t.ID, t.Need, 0
+		found.job, found.step, found.index = t.Job, t.Step, t.Index
 		g.runs[t.ID] = found
 		s.usedResources = s.usedResources.Add(t.Need)
 		s.log(LogEntry{Message: "run claimed", Task: ref.Task, Run: found.Run, Gateway: g.ref})
@@ -203,7 +206,7 @@
 		}
 		run := &run{
 			RunRef: RunRef{Task: s.options.TaskName(in.Job, in.Step, t.Index), Run: t.Run},
-			id:     t.ID, job: in.Job, gateway: g, assumedSlowness: g.sentSlowness, payload: in.Payload, need: in.Need, expectedRunTime: in.ExpectedRunTime,
+			id:     t.ID, job: in.Job, step: in.Step, index: t.Index, gateway: g, assumedSlowness: g.sentSlowness, payload: in.Payload, need: in.Need, expectedRunTime: in.ExpectedRunTime,
 			priority: in.Priority, arrival: s.now - in.Age, placedAt: s.now,
 		}
 		if in.StartWithin > 0 {
--- a/internal/supervisor/runs.go
+++ b/internal/supervisor/runs.go
@@ -135,6 +135,7 @@
 	s.advance(now)
 	if connectionRefused && len(s.activeRuns) > 0 {
 		s.log(LogEntry{Message: "server does not listen, its runs have ended"})
+		s.recordCrash()
 		s.endAllRuns()
 	}
 	s.failedLists++
@@ -196,15 +197,17 @@
 	if s.server != nil && list.StartTime != 0 && list.StartTime < s.server.StartTime && list.RequestedAt <= s.startTimeKnownAt {
 		return // a delayed answer of an earlier incarnation
 	}
-	s.setUnresponsive(false)
 	s.unansweredStarts, s.failedLists = 0, 0
 	s.tokenConfirmed = s.tokenConfirmed || list.RequestedAt > s.tokenRaisedAt
 	if s.server != nil && list.StartTime != 0 {
 		if s.server.StartTime != 0 && list.StartTime != s.server.StartTime {
 			s.handleServerRestart(s.server.ID)
+		} else if s.server.StartTime != 0 {
+			s.withdrawCrash()
 		}
 		s.setStartTime(list.StartTime)
 	}
+	s.setUnresponsive(false)
 	for _, e := range list.Ended {
 		s.handleListedEnd(e)
 	}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -25,8 +25,10 @@
 type run struct {
 	RunRef
 	// id is the gateway's number of the placement.
-	id              uint64
+	id uint64
+	// job, step and index identify the task. They are not known of a run that was found and has not been claimed.
 	job             string
+	step, index     int
 	gateway         *gateway // nil for a run that was found and has not been claimed
 	payload         string
 	need            structs.Resources
@@ -125,7 +127,11 @@
 	// lastProgressAt is when a list last showed that a run has advanced or completed.
 	lastProgressAt   time.Duration
 	resourcesChanged bool
-	actions          []Action
+	// crashReported is set once the crash of the server's present incarnation was reported.
+	crashReported bool
+	notices       []notice
+	lastNotice    uint64
+	actions       []Action
 }
 
 // New returns a supervisor that does not know its server yet.
@@ -209,6 +215,7 @@
 	if s.server == nil || s.server.ID != id {
 		return
 	}
+	s.crashReported = true // the server has announced its end
 	s.handleServerRestart(id)
 	s.server = nil
 	s.announceServer()
@@ -218,6 +225,10 @@
 // have ended, but a start that was answered may have been carried out by the new incarnation before the agent knew of
 // it. Therefore the next list decides about all runs.
 func (s *Supervisor) handleServerRestart(id string) {
+	if !s.unresponsive {
+		s.recordCrash()
+	}
+	s.crashReported = false
 	s.raiseToken(1)
 	s.log(LogEntry{Message: "server restarted", Detail: id + " token " + strconv.FormatUint(s.token, 10)})
 	for _, run := range s.activeRuns {
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -20,6 +20,7 @@
 	stops       []RunRef
 	events      []structs.PlacementEvent
 	reports     []*structs.ServerReport
+	crashes     []*structs.CrashReport
 	closedLinks int
 	seq         uint64
 }
@@ -52,6 +53,8 @@
 				h.events = append(h.events, m.Events...)
 			case *structs.ServerReport:
 				h.reports = append(h.reports, m)
+			case *structs.CrashReport:
+				h.crashes = append(h.crashes, m)
 			}
 		}
 	}
