--- a/internal/schedule/simulation_test.go
+++ b/internal/schedule/simulation_test.go
@@ -19,6 +19,8 @@
 	stopDuration  = 50 * time.Millisecond
 	tokenSpacing  = 1000                    // the first token of an agent's first incarnation; each restart adds as much
 	resubmitDelay = 1300 * time.Millisecond // after which a caller submits a job again
+
+	serverRestartTime = 3 * time.Second // from the crash of a server to its next incarnation
 )
 
 func taskName(job string, step, index int) string {
@@ -50,6 +52,11 @@
 	// resubmitted holds the jobs that were submitted more than once. An earlier submission may have run.
 	resubmitted   map[string]bool
 	completedRuns int
+	// deadly returns after what time a task crashes the server that runs it, or 0 if it does not. crashes counts these.
+	deadly  func(task string) time.Duration
+	crashes int
+	// crashesUnder counts the crashes that each task has caused.
+	crashesUnder map[string]int
 	// stops counts the calls that stop a run.
 	stops int
 }
@@ -83,6 +90,7 @@
 		taskLog: map[string][]string{}, history: map[string]pastRun{}, resubmitted: map[string]bool{},
 		callDelay: func() (time.Duration, bool) { return 0, false },
 		work:      func(string) time.Duration { return 60 * time.Millisecond },
+		deadly:    func(string) time.Duration { return 0 }, crashesUnder: map[string]int{},
 	}
 	for i := range gateways {
 		g := &gateway{sim: sim, number: i}
@@ -268,11 +276,16 @@
 				l.g.machine.HandleResourceReport(now, id, m)
 			case *structs.PlacementEvents:
 				l.g.machine.HandlePlacementEvents(now, id, m)
+			default:
+				l.receiveNotice(now, message)
 			}
 		})
 	})
 }
 
+// receiveNotice passes a notice of the agent to the gateway.
+func (l *simulatedLink) receiveNotice(_ time.Duration, _ any) {}
+
 func (l *simulatedLink) end() {
 	if l.ended {
 		return
@@ -312,6 +325,7 @@
 	capacity  structs.Resources
 	token     uint64
 	down      bool
+	refuses   bool // nothing listens: the process of the server has ended and its VM is up
 	failsRuns bool
 	stalls    bool // its runs make no progress
 	// startTime distinguishes the incarnations of the server. calledStartTime is that of the incarnation that the
@@ -373,6 +387,7 @@
 		a.sim.taskEnded(ref.Task)
 	}
 	a.startTime++
+	a.refuses = false
 	a.startedAt, a.token = a.sim.now, 0
 	a.runs, a.highestRun, a.ends, a.lastEndNumber = map[supervisor.RunRef]*serverRun{}, map[string]uint32{}, nil, 0
 	a.lease = 0
@@ -463,6 +478,17 @@
 	}
 }
 
+// crash ends the server's process. It is started again after the duration away.
+func (a *agent) crash(away time.Duration) {
+	a.restartServer()
+	a.down, a.refuses = true, true
+	a.sim.after(away, func() {
+		a.down = false
+		a.restartServer()
+		a.run(a.report)
+	})
+}
+
 // call delivers a request to the server, and its answer to the agent. Either may be late or lost.
 func (a *agent) call(request func() supervisor.Answer, answered func(supervisor.Answer)) {
 	const timeout = 120 * time.Millisecond
@@ -477,6 +503,9 @@
 	}
 	a.sim.after(timeout, func() { reply(supervisor.AnswerNone) })
 	a.sim.after(delay, func() {
+		if a.refuses {
+			a.sim.after(tick, func() { reply(supervisor.AnswerUnhealthy) })
+		}
 		if a.down {
 			return
 		}
@@ -542,6 +571,10 @@
 		}
 	})
 	a.sim.after(2*time.Millisecond, func() {
+		if a.refuses && !done && a.incarnation == incarnation {
+			done, a.listPending = true, false
+			a.run(func() { machine.ListFailed(a.sim.now, true) })
+		}
 		// A connection does not outlive the server's process.
 		if a.down || done || a.startTime != startTime || !a.accept(token) {
 			return
@@ -596,6 +629,15 @@
 	a.runs[ref] = r
 	a.sim.log(ref.Task, "run %d starts at %s, incarnation %d", ref.Run, a.id, a.incarnation)
 	a.sim.taskStarted(ref.Task)
+	if after := a.sim.deadly(ref.Task); after > 0 {
+		a.sim.after(after, func() {
+			if a.runs[ref] == r {
+				a.sim.crashes++
+				a.sim.crashesUnder[ref.Task]++
+				a.crash(serverRestartTime)
+			}
+		})
+	}
 	end := supervisor.EndDone
 	if a.failsRuns {
 		end = supervisor.EndFailed
