Scheduler: give a job up once two servers have crashed under its task

Callers of every queue lost their requests because one task took down server after server: a run that ends with its server was placed again at once and without limit. All gateways now keep the agents' crash reports for a minute and judge them alike, so the count outlives any of them. A job is to blame if it is the only one with a task under two crashes, or had a crashed server to itself once; crashes that another job explains do not count against its neighbours, nor do servers that end at the same moment without it (loss of power). If several jobs remain, their tasks start on servers apart and the next crash decides. A job that comes back through another gateway is judged by the same reports and never answered as not run. Ruled out: a count per gateway (dies with it), the youngest run as culprit (half a start per 11 ms is placed on each server), a plain limit on lost runs (gives up neighbours, also after losses of power).

--- a/internal/platformgateway/agents.go
+++ b/internal/platformgateway/agents.go
@@ -64,6 +64,8 @@
 		return &structs.ResourceReport{}
 	case structs.TypeServerHealth:
 		return &structs.ServerHealth{}
+	case structs.TypeCrashReport:
+		return &structs.CrashReport{}
 	case structs.TypePlacementEvents:
 		return &structs.PlacementEvents{}
 	case structs.TypeOperatorState:
@@ -95,6 +97,8 @@
 		g.scheduler.HandleResourceReport(now, c.agent.ID, m)
 	case *structs.ServerHealth:
 		g.scheduler.HandleServerHealth(now, c.agent.ID, m)
+	case *structs.CrashReport:
+		g.scheduler.HandleCrashReport(now, c.agent.ID, m)
 	case *structs.PlacementEvents:
 		g.scheduler.HandlePlacementEvents(now, c.agent.ID, m)
 	case *structs.OperatorState:
--- a/internal/schedule/api.go
+++ b/internal/schedule/api.go
@@ -23,7 +23,7 @@
 const (
 	// OutcomeCompleted: all tasks have completed.
 	OutcomeCompleted Outcome = iota + 1
-	// OutcomeFailed: a task failed as often as its route allows, or the job was cancelled.
+	// OutcomeFailed: a task failed as often as its route allows or crashed several servers, or the job was cancelled.
 	OutcomeFailed
 	// OutcomeRefused: no task has started, and none will.
 	OutcomeRefused
@@ -92,6 +92,7 @@
 	MessageReturned = "task came back"
 	MessageMoved    = "moves a lagging task"
 	MessageEnded    = "job ended"
+	MessageGivenUp  = "job given up, servers crashed under its task"
 )
 
 // Reasons of an Answer that package explain distinguishes.
@@ -101,6 +102,8 @@
 	// ReasonUnservable: no known server is large enough for a task of the job, or has the label that it requires.
 	ReasonUnservable = "no server can run it"
 	ReasonCallerLeft = "caller left"
+	// ReasonCrashes: several servers have crashed under a task of the job.
+	ReasonCrashes = "servers crashed under its task"
 )
 
 // LogEntry asks the I/O layer to log a decision. Fields that do not apply are zero.
--- /dev/null
+++ b/internal/schedule/crashes.go
@@ -0,0 +1,332 @@
+package schedule
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"rosedrift.example/rosedrift/internal/structs"
+)
+
+// Parameters of the blame for crashes of servers.
+const (
+	// crashRetention is how long crashes count. Callers submit a job again within seconds.
+	crashRetention = time.Minute
+	// simultaneous is the longest time between the crashes of servers that end for one reason, such as the loss of power of
+	// a rack. Each is found within a few ms.
+	simultaneous = 15 * time.Millisecond
+	// maxCrashes bounds the crashes that are kept.
+	maxCrashes = 2048
+	// Two crashes decide if there is no other explanation, decisiveCrashes always do.
+	giveUpCrashes   = 2
+	decisiveCrashes = 3
+)
+
+// taskRef identifies a task across gateways.
+type taskRef struct {
+	job         string
+	step, index int
+}
+
+// crash is the crash of one incarnation of a server.
+type crash struct {
+	server    string
+	startTime int64
+	at        time.Duration
+	runs      []structs.CrashedRun
+	// group holds the crashes of other servers at the same time that were not caused by one task after the other.
+	group []*crash
+	// culprit is the job to blame, empty while it is not known.
+	culprit string
+	judged  bool
+}
+
+// crashHistory holds the recent crashes of servers, and decides which jobs are to blame. All gateways get the same reports,
+// so that a job that comes back through another gateway is judged alike.
+type crashHistory struct {
+	crashes []*crash
+	byTask  map[taskRef][]*crash
+	// byJob counts the crashes by the jobs that had runs there.
+	byJob map[string]int
+	// guilty holds the jobs to blame, and when that was decided.
+	guilty map[string]time.Duration
+}
+
+func newCrashHistory() *crashHistory {
+	return &crashHistory{byTask: map[taskRef][]*crash{}, byJob: map[string]int{}, guilty: map[string]time.Duration{}}
+}
+
+func refOf(r *structs.CrashedRun) taskRef { return taskRef{job: r.Job, step: r.Step, index: r.Index} }
+
+// record adds a reported crash and returns it, or nil if it is known already. A report without runs withdraws it.
+func (h *crashHistory) record(now time.Duration, report *structs.CrashReport) *crash {
+	for _, c := range h.crashes {
+		if c.server == report.Server && c.startTime == report.StartTime {
+			if len(report.Runs) == 0 {
+				h.remove(c)
+			}
+			return nil
+		}
+	}
+	age := max(report.Age, 0)
+	if len(report.Runs) == 0 || age > crashRetention {
+		return nil
+	}
+	if len(h.crashes) >= maxCrashes {
+		h.remove(h.crashes[0])
+	}
+	c := &crash{server: report.Server, startTime: report.StartTime, at: now - age, runs: report.Runs}
+	for _, jobID := range c.jobs() {
+		h.byJob[jobID]++
+	}
+	for i := range c.runs {
+		ref := refOf(&c.runs[i])
+		h.byTask[ref] = append(h.byTask[ref], c)
+	}
+	for _, other := range h.crashes {
+		if other.server != c.server && (c.at-other.at).Abs() <= simultaneous && !c.sharesTask(other) {
+			c.group, other.group = append(c.group, other), append(other.group, c)
+		}
+	}
+	h.crashes = append(h.crashes, c)
+	return c
+}
+
+func (h *crashHistory) remove(c *crash) {
+	without := func(list []*crash) []*crash { return slices.DeleteFunc(list, func(o *crash) bool { return o == c }) }
+	h.crashes = without(h.crashes)
+	for i := range c.runs {
+		ref := refOf(&c.runs[i])
+		if h.byTask[ref] = without(h.byTask[ref]); len(h.byTask[ref]) == 0 {
+			delete(h.byTask, ref)
+		}
+	}
+	for _, jobID := range c.jobs() {
+		if h.byJob[jobID]--; h.byJob[jobID] <= 0 {
+			delete(h.byJob, jobID)
+		}
+	}
+	for _, other := range c.group {
+		other.group = without(other.group)
+	}
+}
+
+// prune removes what is older than crashRetention.
+func (h *crashHistory) prune(now time.Duration) {
+	for i := 0; i < len(h.crashes); {
+		if now-h.crashes[i].at <= crashRetention {
+			i++
+			continue
+		}
+		h.remove(h.crashes[i])
+	}
+	for jobID, at := range h.guilty {
+		if now-at > crashRetention {
+			delete(h.guilty, jobID)
+		}
+	}
+}
+
+// jobs returns the jobs with runs in the crash, each once.
+func (c *crash) jobs() []string {
+	var jobs []string
+	for i := range c.runs {
+		if !slices.Contains(jobs, c.runs[i].Job) {
+			jobs = append(jobs, c.runs[i].Job)
+		}
+	}
+	return jobs
+}
+
+// sharesTask reports whether a task had runs in both crashes. It runs on one server at a time, so one crash came after the
+// other.
+func (c *crash) sharesTask(other *crash) bool {
+	return slices.ContainsFunc(c.runs, func(r structs.CrashedRun) bool {
+		return slices.ContainsFunc(other.runs, func(o structs.CrashedRun) bool { return refOf(&r) == refOf(&o) })
+	})
+}
+
+func (c *crash) has(jobID string) bool {
+	return slices.ContainsFunc(c.runs, func(r structs.CrashedRun) bool { return r.Job == jobID })
+}
+
+// youngest returns the job whose run was started last.
+func (c *crash) youngest() string {
+	return slices.MinFunc(c.runs, func(a, b structs.CrashedRun) int { return int(a.Age - b.Age) }).Job
+}
+
+// alone reports whether only runs of one job were on the server.
+func (c *crash) alone() bool { return len(c.jobs()) == 1 }
+
+// counts reports whether a crash counts against a job that had runs there. It does not if another job is to blame, or if
+// other servers without runs of the job crashed at the same moment: that points to a loss of power.
+func (c *crash) counts(jobID string) bool {
+	if c.culprit != "" && c.culprit != jobID {
+		return false
+	}
+	return !slices.ContainsFunc(c.group, func(other *crash) bool { return !other.has(jobID) })
+}
+
+// under returns the number of crashes that count against a task.
+func (h *crashHistory) under(ref taskRef) int {
+	count := 0
+	for _, c := range h.byTask[ref] {
+		if c.counts(ref.job) {
+			count++
+		}
+	}
+	return count
+}
+
+// judged reports whether all crashes under a task were judged.
+func (h *crashHistory) judged(ref taskRef) bool {
+	return !slices.ContainsFunc(h.byTask[ref], func(c *crash) bool { return !c.judged })
+}
+
+// judge decides about the crashes that are old enough for all simultaneous ones to be known, and returns the jobs that are
+// found to blame.
+func (h *crashHistory) judge(now time.Duration) []string {
+	var found []string
+	for _, c := range h.crashes {
+		if c.judged || now-c.at < simultaneous {
+			continue
+		}
+		c.judged = true
+		for _, jobID := range h.suspects(c) {
+			if _, known := h.guilty[jobID]; !known {
+				found = append(found, jobID)
+			}
+			h.guilty[jobID] = now
+			h.blame(c, jobID)
+		}
+	}
+	return found
+}
+
+// nextJudgment returns when judge must be called next, or 0 if no crash waits for it.
+func (h *crashHistory) nextJudgment() time.Duration {
+	for _, c := range h.crashes {
+		if !c.judged {
+			return c.at + simultaneous
+		}
+	}
+	return 0
+}
+
+// suspects returns the jobs that a crash proves to be at fault. The runs beside a task that crashes its server are usually in
+// no other crash: if just one job has a task with several crashes, or was once alone on a server, it is to blame. If there are
+// several, their tasks are started apart, and the next crash decides.
+func (h *crashHistory) suspects(c *crash) []string {
+	var repeated, proven []string
+	for _, jobID := range c.jobs() {
+		most, alone := 0, false
+		for i := range c.runs {
+			if c.runs[i].Job != jobID {
+				continue
+			}
+			ref := refOf(&c.runs[i])
+			most = max(most, h.under(ref))
+			alone = alone || slices.ContainsFunc(h.byTask[ref], func(o *crash) bool { return o.alone() && o.counts(jobID) })
+		}
+		if most >= giveUpCrashes {
+			repeated = append(repeated, jobID)
+			if alone || most >= decisiveCrashes {
+				proven = append(proven, jobID)
+			}
+		}
+	}
+	if len(repeated) == 1 {
+		return repeated
+	}
+	return proven
+}
+
+// blame records a job as the cause of the crashes that its tasks in a crash were in.
+func (h *crashHistory) blame(c *crash, jobID string) {
+	for i := range c.runs {
+		if c.runs[i].Job != jobID {
+			continue
+		}
+		for _, other := range h.byTask[refOf(&c.runs[i])] {
+			if other.counts(jobID) {
+				other.culprit = jobID
+			}
+		}
+	}
+}
+
+// evidence names the servers whose crashes a job is to blame for, for the log.
+func (h *crashHistory) evidence(jobID string) string {
+	var servers []string
+	for _, c := range h.crashes {
+		if c.culprit == jobID {
+			servers = append(servers, c.server)
+		}
+	}
+	return strings.Join(servers, ", ")
+}
+
+// HandleCrashReport handles an agent's report that its server has crashed.
+func (s *Scheduler) HandleCrashReport(now time.Duration, id structs.AgentID, in *structs.CrashReport) {
+	s.advance(now)
+	c := s.crashes.record(s.now, in)
+	if c == nil {
+		return
+	}
+	s.log(LogEntry{Message: "server crash reported", Agent: id, Server: in.Server, Detail: "jobs " + strings.Join(c.jobs(), ", ")})
+	for _, jobID := range c.jobs() {
+		if j := s.jobs[jobID]; j != nil {
+			j.mayHaveRun = true
+		}
+	}
+}
+
+// judgeCrashes ends the jobs that are to blame for crashes.
+func (s *Scheduler) judgeCrashes() {
+	if len(s.crashes.crashes)+len(s.crashes.guilty) == 0 {
+		return
+	}
+	s.crashes.prune(s.now)
+	for _, jobID := range s.crashes.judge(s.now) {
+		if j := s.jobs[jobID]; j != nil && !j.ended {
+			s.giveUp(j)
+		}
+	}
+}
+
+// giveUp ends a job whose task crashes the servers that run it.
+func (s *Scheduler) giveUp(j *job) {
+	s.log(LogEntry{Message: MessageGivenUp, Job: j.spec.ID, Detail: j.route.Name + " crashed " + s.crashes.evidence(j.spec.ID)})
+	s.end(j, OutcomeFailed, ReasonCrashes, 0)
+}
+
+func (t *task) ref() taskRef { return taskRef{job: t.job.spec.ID, step: t.step, index: t.index} }
+
+// crashesUnder returns the number of crashes that count against a task.
+func (s *Scheduler) crashesUnder(t *task) int {
+	if len(s.crashes.crashes) == 0 {
+		return 0
+	}
+	return s.crashes.under(t.ref())
+}
+
+// hasRepeatedCrashes reports whether several servers have crashed under a task of a job.
+func (s *Scheduler) hasRepeatedCrashes(j *job) bool {
+	if s.crashes.byJob[j.spec.ID] < giveUpCrashes {
+		return false
+	}
+	return slices.ContainsFunc(j.steps, func(st *step) bool {
+		return slices.ContainsFunc(st.tasks, func(t *task) bool { return s.crashesUnder(t) >= giveUpCrashes })
+	})
+}
+
+// apart reports whether a server has no other job's task under which a server has crashed. If two such tasks are on one
+// server, another crash does not tell which is to blame.
+func (s *Scheduler) apart(srv *server, t *task) bool {
+	for _, other := range srv.tasks {
+		if other.job != t.job && s.crashesUnder(other) > 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -15,6 +15,7 @@
 	s.advance(now)
 	s.resumeLinks()
 	s.expireUnlinkedServers()
+	s.judgeCrashes()
 	s.dispatch()
 	s.sendStops()
 	s.sendPlaces()
@@ -124,6 +125,11 @@
 	return best
 }
 
+// isHeld reports whether a task must not be placed yet, since it is not decided whether it is to blame for crashes.
+func (s *Scheduler) isHeld(t *task) bool {
+	return s.crashesUnder(t) >= giveUpCrashes && !s.crashes.judged(t.ref())
+}
+
 // sampleServers returns some servers in the gateway's zone and some of all zones. Successive samples go round.
 func (s *Scheduler) sampleServers() []*server {
 	s.sample = s.sample[:0]
@@ -143,10 +149,14 @@
 func (s *Scheduler) bestOf(servers []*server, j *job, st *step, t *task, except *server, late bool) (candidate, int) {
 	var best candidate
 	bestRank, bestScore := 0, 0.0
+	suspect := s.crashesUnder(t) > 0
 	for _, srv := range servers {
 		if srv == except || !s.usable(srv) || srv.report.Service != j.route.Service || !s.admits(srv, st) {
 			continue
 		}
+		if suspect && !s.apart(srv, t) {
+			continue
+		}
 		c, ok := s.evaluate(srv, j.route.Priority, st)
 		if !ok {
 			continue
@@ -310,6 +320,10 @@
 // the job if a task finds no server although late servers were considered, and the job has not begun.
 func (s *Scheduler) dispatchJob(j *job) {
 	if s.now >= j.deadline {
+		if s.hasRepeatedCrashes(j) {
+			s.giveUp(j)
+			return
+		}
 		s.end(j, OutcomeRefused, ReasonDeadline, 0)
 		return
 	}
@@ -326,9 +340,16 @@
 			if t.state != pending {
 				continue
 			}
+			if s.isHeld(t) {
+				unplaced = true
+				continue
+			}
 			c := s.chooseServer(j, st, t, nil, late)
 			if c.server == nil {
 				unplaced = true
+				if s.crashesUnder(t) > 0 {
+					continue // the other tasks may run on more servers
+				}
 				break
 			}
 			s.place(t, st, c)
@@ -518,6 +539,9 @@
 	if len(s.queue) > 0 {
 		wake = min(wake, s.now+queueCheckInterval)
 	}
+	if at := s.crashes.nextJudgment(); at > 0 {
+		wake = min(wake, max(at, s.now+time.Millisecond))
+	}
 	return max(wake, s.now)
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -170,6 +170,7 @@
 	// placements collects the Place messages of a Flush, so that tasks of one step for one agent share a message.
 	placements []Send
 	stops      map[*server][]uint64
+	crashes    *crashHistory
 }
 
 // New returns a scheduler that knows no servers.
@@ -181,6 +182,7 @@
 		options: options, now: now,
 		servers: map[structs.AgentID]*server{}, serversByZone: map[string][]*server{}, models: map[string]*runTimeModel{}, jobs: map[string]*job{},
 		tasks: map[uint64]*task{}, zonesOut: map[string]bool{}, stops: map[*server][]uint64{},
+		crashes: newCrashHistory(),
 	}
 }
 
@@ -271,6 +273,13 @@
 	}
 	j.due = s.now + millis(j.route.Stretch*j.longestChain()) + j.route.TargetLatency
 	s.jobs[in.Job.ID] = j
+	if s.crashes.byJob[in.Job.ID] > 0 {
+		j.mayHaveRun = true
+		if _, guilty := s.crashes.guilty[in.Job.ID]; guilty {
+			s.giveUp(j)
+			return
+		}
+	}
 	s.enqueue(j)
 }
 
--- a/internal/schedule/simulation_test.go
+++ b/internal/schedule/simulation_test.go
@@ -284,7 +284,11 @@
 }
 
 // receiveNotice passes a notice of the agent to the gateway.
-func (l *simulatedLink) receiveNotice(_ time.Duration, _ any) {}
+func (l *simulatedLink) receiveNotice(now time.Duration, message any) {
+	if report, ok := message.(*structs.CrashReport); ok {
+		l.g.machine.HandleCrashReport(now, l.a.id, report)
+	}
+}
 
 func (l *simulatedLink) end() {
 	if l.ended {
