Agent: ask again at once after a broken connection to the server

Callers' tasks were placed on a crashed server for 23 ms: the connection of the agent's request ends with the server's process, but the agent paused 20 ms before the next request, whose refusal proves the crash. In that time the next deadly job arrives. Now the first request after a broken connection follows at once; further ones keep the pause, so a server that breaks all connections is not called more often.

--- a/internal/platformagent/backend.go
+++ b/internal/platformagent/backend.go
@@ -414,6 +414,9 @@
 	if answer == platform.AnswerNone {
 		c.agent.loop.Post(func(now time.Duration) { c.agent.supervisor.ListFailed(now, refused) })
 	}
+	if platform.IsConnectionClosed(err) && !call.suspect {
+		return // the next request shows at once whether the server's process has ended
+	}
 	ctxtime.Sleep(ctx, listRetryDelay)
 }
 
