Scheduler: set queues apart whose tasks crash servers

Callers of healthy queues were refused for 8 s while another queue's tasks crashed all servers: 3.5 new deadly jobs a second keep 10.5 of 11 servers down even if each crashes one. Once a job is to blame, its queue gets a share of the servers, in proportion to its use (a tenth to a half, never more than half for all such queues), and the others keep the rest. Tasks that were in a crash run alone there (PlaceAlone), so that the next crash is conclusive. It ends 8 s after the last crash if a server set apart is up, twice as late each time it begins again within a minute. Jobs that cannot be served are refused at once, with the time until the expected end as Retry-After. One gateway decides; five agents pass the state and the list of servers on, also to gateways that start later. A service with one server holds the queue back for the time instead. Of several suspected jobs, the one with by far the youngest runs is to blame; crashes within 3 ms count as one event. What binds: a quarter of the servers can start a quarter of the deadly jobs, so three quarters of the bad queue's jobs are refused while they come. New message types are ignored by earlier builds.

--- a/internal/platformagent/links.go
+++ b/internal/platformagent/links.go
@@ -202,6 +202,10 @@
 		return &structs.Stop{}
 	case structs.TypeOperatorState:
 		return &structs.OperatorState{}
+	case structs.TypeQuarantine:
+		return &structs.Quarantine{}
+	case structs.TypePlaceAlone:
+		return &structs.PlaceAlone{}
 	case structs.TypeHeartbeat:
 		return &structs.Heartbeat{}
 	default:
@@ -224,8 +228,12 @@
 		c.sendNewerState(m.Revision)
 	case *structs.Place:
 		a.supervisor.Place(now, c.gateway, m)
+	case *structs.PlaceAlone:
+		a.supervisor.PlaceAlone(now, c.gateway, m)
 	case *structs.Stop:
 		a.supervisor.Stop(now, c.gateway, m)
+	case *structs.Quarantine:
+		a.supervisor.RelayQuarantine(now, m)
 	case *structs.OperatorState:
 		c.stateExchange.Received(m.Revision)
 		c.gatewayRevision = max(c.gatewayRevision, m.Revision)
--- a/internal/platformgateway/agents.go
+++ b/internal/platformgateway/agents.go
@@ -66,6 +66,10 @@
 		return &structs.ServerHealth{}
 	case structs.TypeCrashReport:
 		return &structs.CrashReport{}
+	case structs.TypeQuarantine:
+		return &structs.Quarantine{}
+	case structs.TypeFeatures:
+		return &structs.Features{}
 	case structs.TypePlacementEvents:
 		return &structs.PlacementEvents{}
 	case structs.TypeOperatorState:
@@ -99,6 +103,10 @@
 		g.scheduler.HandleServerHealth(now, c.agent.ID, m)
 	case *structs.CrashReport:
 		g.scheduler.HandleCrashReport(now, c.agent.ID, m)
+	case *structs.Features:
+		g.scheduler.HandleFeatures(now, c.agent.ID, m)
+	case *structs.Quarantine:
+		g.scheduler.HandleQuarantine(now, m)
 	case *structs.PlacementEvents:
 		g.scheduler.HandlePlacementEvents(now, c.agent.ID, m)
 	case *structs.OperatorState:
--- a/internal/platformgateway/gateway.go
+++ b/internal/platformgateway/gateway.go
@@ -81,7 +81,8 @@
 
 type gatewayMetrics struct {
 	submitted, completed, failed, refused, lost tally.Counter
-	placed                                      tally.Counter
+	placed, givenUp                             tally.Counter
+	quarantined                                 tally.Gauge
 	latency                                     tally.Histogram
 }
 
@@ -90,6 +91,7 @@
 		submitted: scope.Counter("jobs_submitted"), completed: scope.Counter("jobs_completed"),
 		failed: scope.Counter("jobs_failed"), refused: scope.Counter("jobs_refused"), lost: scope.Counter("jobs_lost"),
 		placed:  scope.Counter("tasks_placed"),
+		givenUp: scope.Counter("jobs_given_up"), quarantined: scope.Gauge("queues_in_quarantine"),
 		latency: scope.Histogram("job_seconds", tally.MustMakeExponentialDurationBuckets(8*time.Millisecond, 2, 12)),
 	}
 }
@@ -205,9 +207,7 @@
 	for _, action := range g.scheduler.Flush(now) {
 		switch action := action.(type) {
 		case schedule.Send:
-			if place, ok := action.Message.(*structs.Place); ok {
-				g.metrics.placed.Inc(int64(len(place.Tasks)))
-			}
+			g.countPlaced(action.Message)
 			g.agents.send(action)
 		case schedule.CloseLink:
 			g.agents.closeLink(action.Agent)
@@ -217,9 +217,20 @@
 			g.log(action)
 		}
 	}
+	g.metrics.quarantined.Update(float64(g.scheduler.QuarantineCount()))
 	g.hasUsableServer.Store(g.scheduler.HasUsableServer())
 }
 
+// countPlaced counts the tasks of a placement in the metrics.
+func (g *Gateway) countPlaced(message any) {
+	switch m := message.(type) {
+	case *structs.Place:
+		g.metrics.placed.Inc(int64(len(m.Tasks)))
+	case *structs.PlaceAlone:
+		g.metrics.placed.Inc(int64(len(m.Place.Tasks)))
+	}
+}
+
 // log writes a decision of the scheduler to the log, without the fields that do not apply.
 func (g *Gateway) log(e schedule.LogEntry) {
 	fields := []any{"msg", e.Message}
--- a/internal/platformgateway/requests.go
+++ b/internal/platformgateway/requests.go
@@ -239,8 +239,11 @@
 		answerJSON(w, platform.JobAnswer{State: platform.JobFailed})
 	case schedule.OutcomeRefused:
 		code := "overloaded"
-		if answer.Reason == schedule.ReasonUnservable {
+		switch answer.Reason {
+		case schedule.ReasonUnservable:
 			code = "unservable"
+		case schedule.ReasonQuarantine:
+			code = "quarantined"
 		}
 		refuse(w, http.StatusServiceUnavailable, code, answer.Reason, answer.RetryAfter)
 	case schedule.OutcomeLost:
@@ -286,6 +289,9 @@
 	case schedule.OutcomeLost:
 		g.metrics.lost.Inc(1)
 	}
+	if a.Reason == schedule.ReasonCrashes {
+		g.metrics.givenUp.Inc(1)
+	}
 	summary := a.Summary
 	_ = level.Info(g.logger).Log("msg", schedule.MessageEnded, "job", a.Job, "outcome", a.Outcome, "reason", a.Reason,
 		"route", summary.Route, "age", summary.Age, "objective", summary.Objective, "tasks", summary.Tasks,
--- a/internal/schedule/api.go
+++ b/internal/schedule/api.go
@@ -93,6 +93,9 @@
 	MessageMoved    = "moves a lagging task"
 	MessageEnded    = "job ended"
 	MessageGivenUp  = "job given up, servers crashed under its task"
+
+	MessageQuarantined     = "queue in quarantine"
+	MessageQuarantineEnded = "quarantine of queue ended"
 )
 
 // Reasons of an Answer that package explain distinguishes.
@@ -104,6 +107,8 @@
 	ReasonCallerLeft = "caller left"
 	// ReasonCrashes: several servers have crashed under a task of the job.
 	ReasonCrashes = "servers crashed under its task"
+	// ReasonQuarantine: the queue is kept apart because its tasks crash servers, and no server that it may use is up.
+	ReasonQuarantine = "queue in quarantine"
 )
 
 // LogEntry asks the I/O layer to log a decision. Fields that do not apply are zero.
@@ -123,6 +128,18 @@
 	Age             time.Duration
 }
 
+// QuarantineState describes a queue in quarantine.
+type QuarantineState struct {
+	Route    string `json:"queue"`
+	Service  string `json:"service"`
+	Evidence string `json:"evidence"`
+	// Servers are the agents of the servers that are set apart for all queues in quarantine of the service.
+	Servers []structs.AgentID `json:"servers"`
+	// LastCrash is the time since the last crash, EndsIn the time until the quarantine is expected to end.
+	LastCrash time.Duration `json:"last_crash_ns"`
+	EndsIn    time.Duration `json:"ends_in_ns"`
+}
+
 func (Send) action()      {}
 func (CloseLink) action() {}
 func (Answer) action()    {}
--- a/internal/schedule/crashes.go
+++ b/internal/schedule/crashes.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -12,11 +13,16 @@
 const (
 	// crashRetention is how long crashes count. Callers submit a job again within seconds.
 	crashRetention = time.Minute
-	// simultaneous is the longest time between the crashes of servers that end for one reason, such as the loss of power of
-	// a rack. Each is found within a few ms.
-	simultaneous = 15 * time.Millisecond
+	// simultaneous is the longest time between the reports of crashes of servers that end for one reason, such as the loss of
+	// power of a rack. A refused connection shows a crash within 1 to 3 ms.
+	simultaneous = 3 * time.Millisecond
+	// judgmentDelay is how long after a crash all simultaneous ones are known.
+	judgmentDelay = 8 * time.Millisecond
 	// maxCrashes bounds the crashes that are kept.
 	maxCrashes = 2048
+	// decisiveAge is the factor by which the runs of one of several jobs must have been younger, at all their crashes, than
+	// those of the others. A task that crashes its server does so at about the same age each time.
+	decisiveAge = 2
 	// Two crashes decide if there is no other explanation, decisiveCrashes always do.
 	giveUpCrashes   = 2
 	decisiveCrashes = 3
@@ -188,7 +194,7 @@
 func (h *crashHistory) judge(now time.Duration) []string {
 	var found []string
 	for _, c := range h.crashes {
-		if c.judged || now-c.at < simultaneous {
+		if c.judged || !h.ripe(c, now) {
 			continue
 		}
 		c.judged = true
@@ -203,11 +209,18 @@
 	return found
 }
 
+// ripe reports whether all crashes simultaneous with those under the runs of a crash are known.
+func (h *crashHistory) ripe(c *crash, now time.Duration) bool {
+	return !slices.ContainsFunc(c.runs, func(r structs.CrashedRun) bool {
+		return slices.ContainsFunc(h.byTask[refOf(&r)], func(o *crash) bool { return now-o.at < judgmentDelay })
+	})
+}
+
 // nextJudgment returns when judge must be called next, or 0 if no crash waits for it.
 func (h *crashHistory) nextJudgment() time.Duration {
 	for _, c := range h.crashes {
 		if !c.judged {
-			return c.at + simultaneous
+			return c.at + judgmentDelay
 		}
 	}
 	return 0
@@ -235,12 +248,37 @@
 			}
 		}
 	}
-	if len(repeated) == 1 {
+	switch {
+	case len(repeated) == 1:
 		return repeated
+	case len(proven) == 0 && len(repeated) > 1:
+		return h.decisivelyYounger(repeated)
 	}
 	return proven
 }
 
+// decisivelyYounger returns the one of several jobs whose runs were by far the youngest at the crashes of their tasks, or none.
+func (h *crashHistory) decisivelyYounger(jobs []string) []string {
+	slices.SortFunc(jobs, func(a, b string) int { return cmp.Compare(h.oldestRun(a), h.oldestRun(b)) })
+	if decisiveAge*h.oldestRun(jobs[0]) <= h.oldestRun(jobs[1]) {
+		return jobs[:1]
+	}
+	return nil
+}
+
+// oldestRun returns the highest age of a job's runs at the crashes under its tasks with several crashes.
+func (h *crashHistory) oldestRun(jobID string) time.Duration {
+	oldest := time.Duration(0)
+	for _, c := range h.crashes {
+		for i := range c.runs {
+			if r := &c.runs[i]; r.Job == jobID && c.counts(jobID) && h.under(refOf(r)) >= giveUpCrashes {
+				oldest = max(oldest, r.Age)
+			}
+		}
+	}
+	return oldest
+}
+
 // blame records a job as the cause of the crashes that its tasks in a crash were in.
 func (h *crashHistory) blame(c *crash, jobID string) {
 	for i := range c.runs {
@@ -279,15 +317,15 @@
 			j.mayHaveRun = true
 		}
 	}
+	s.prolongQuarantines(c)
 }
 
 // judgeCrashes ends the jobs that are to blame for crashes.
 func (s *Scheduler) judgeCrashes() {
-	if len(s.crashes.crashes)+len(s.crashes.guilty) == 0 {
-		return
-	}
 	s.crashes.prune(s.now)
-	for _, jobID := range s.crashes.judge(s.now) {
+	found := s.crashes.judge(s.now)
+	s.updateQuarantines(found)
+	for _, jobID := range found {
 		if j := s.jobs[jobID]; j != nil && !j.ended {
 			s.giveUp(j)
 		}
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -43,6 +43,11 @@
 			}
 		}
 		s.send(srv, structs.TypeResume, message)
+		for _, route := range slices.Sorted(maps.Keys(s.quarantines.byRoute)) {
+			if q := s.quarantines.byRoute[route]; q.active {
+				s.send(srv, structs.TypeQuarantine, s.quarantineMessage(q))
+			}
+		}
 	}
 	s.resumes = s.resumes[:0]
 }
@@ -154,7 +159,7 @@
 		if srv == except || !s.usable(srv) || srv.report.Service != j.route.Service || !s.admits(srv, st) {
 			continue
 		}
-		if suspect && !s.apart(srv, t) {
+		if (suspect && !s.apart(srv, t)) || s.separates(srv, j, st, t) {
 			continue
 		}
 		c, ok := s.evaluate(srv, j.route.Priority, st)
@@ -320,11 +325,11 @@
 // the job if a task finds no server although late servers were considered, and the job has not begun.
 func (s *Scheduler) dispatchJob(j *job) {
 	if s.now >= j.deadline {
-		if s.hasRepeatedCrashes(j) {
-			s.giveUp(j)
-			return
-		}
-		s.end(j, OutcomeRefused, ReasonDeadline, 0)
+		s.endAtDeadline(j)
+		return
+	}
+	if !j.begun() && s.awaitsQuarantine(j) {
+		s.end(j, OutcomeRefused, ReasonQuarantine, s.quarantineEndsIn(j.route.Name))
 		return
 	}
 	late := s.now > j.startBy(s.fastestRunTime(j))
@@ -333,26 +338,8 @@
 	}
 	unplaced := false
 	for _, st := range j.steps {
-		if st.pending == 0 || !s.ready(j, st) {
-			continue
-		}
-		for _, t := range st.tasks {
-			if t.state != pending {
-				continue
-			}
-			if s.isHeld(t) {
-				unplaced = true
-				continue
-			}
-			c := s.chooseServer(j, st, t, nil, late)
-			if c.server == nil {
-				unplaced = true
-				if s.crashesUnder(t) > 0 {
-					continue // the other tasks may run on more servers
-				}
-				break
-			}
-			s.place(t, st, c)
+		if st.pending > 0 && s.ready(j, st) && !s.placeStep(j, st, late) {
+			unplaced = true
 		}
 	}
 	if !unplaced {
@@ -367,8 +354,41 @@
 		}
 	}
 	if late && !j.begun() {
-		s.end(j, OutcomeRefused, ReasonNoResources, s.retryAfter())
+		s.end(j, OutcomeRefused, ReasonNoResources, s.retryAfter(j))
+	}
+}
+
+// placeStep places the pending tasks of a step, and reports whether it found a server for each.
+func (s *Scheduler) placeStep(j *job, st *step, late bool) bool {
+	complete := true
+	for _, t := range st.tasks {
+		if t.state != pending {
+			continue
+		}
+		if s.isHeld(t) {
+			complete = false
+			continue
+		}
+		c := s.chooseServer(j, st, t, nil, late)
+		if c.server != nil {
+			s.place(t, st, c)
+			continue
+		}
+		complete = false
+		if s.crashesUnder(t) == 0 {
+			break // tasks after a crash may run on fewer servers than the others
+		}
 	}
+	return complete
+}
+
+// endAtDeadline ends a job whose last caller stops waiting.
+func (s *Scheduler) endAtDeadline(j *job) {
+	if s.hasRepeatedCrashes(j) {
+		s.giveUp(j)
+		return
+	}
+	s.end(j, OutcomeRefused, ReasonDeadline, 0)
 }
 
 // unservable reports whether no known server can ever run a task of a step. Nothing is concluded while new servers are
@@ -414,8 +434,12 @@
 	return longest
 }
 
-// retryAfter returns the expected time until the queue is worked off.
-func (s *Scheduler) retryAfter() time.Duration {
+// retryAfter returns the expected time until a refused job can be served: when the quarantine of its queue ends, or else when
+// the waiting jobs are worked off.
+func (s *Scheduler) retryAfter(j *job) time.Duration {
+	if s.inQuarantine(j.route.Name) {
+		return s.quarantineEndsIn(j.route.Name)
+	}
 	var work, capacity float64
 	for _, j := range s.queue {
 		for _, st := range j.steps {
@@ -444,11 +468,14 @@
 	if st.perServer != nil {
 		st.perServer[srv]++
 	}
-	need := st.spec.Need
+	need, typ := st.spec.Need, structs.TypePlace
+	if s.placedAlone(t) {
+		typ = structs.TypePlaceAlone
+	}
 	placedTask := structs.PlacedTask{ID: t.id, Index: t.index, Run: t.nextRun}
 	for i := range s.placements {
 		m := s.placements[i].Message.(*structs.Place)
-		if s.placements[i].Agent == srv.id && m.Job == t.job.spec.ID && m.Step == t.step {
+		if s.placements[i].Agent == srv.id && s.placements[i].Type == typ && m.Job == t.job.spec.ID && m.Step == t.step {
 			m.Tasks = append(m.Tasks, placedTask)
 			srv.unacknowledged = append(srv.unacknowledged, unacknowledgedPlacement{
 				seq: m.Seq, priority: m.Priority, need: need,
@@ -467,7 +494,7 @@
 	srv.unacknowledged = append(srv.unacknowledged, unacknowledgedPlacement{
 		seq: srv.seq, priority: t.job.route.Priority, need: need,
 	})
-	s.placements = append(s.placements, Send{Agent: srv.id, Type: structs.TypePlace, Message: &structs.Place{
+	s.placements = append(s.placements, Send{Agent: srv.id, Type: typ, Message: &structs.Place{
 		Seq: srv.seq, Job: t.job.spec.ID, Payload: t.job.spec.Payload, Step: t.step,
 		Priority: t.job.route.Priority, Age: s.now - t.job.arrival, Need: need, ExpectedRunTime: c.run, StartWithin: startWithin,
 		Tasks: []structs.PlacedTask{placedTask},
@@ -478,6 +505,9 @@
 	for _, p := range s.placements {
 		srv, m := s.servers[p.Agent], p.Message.(*structs.Place)
 		srv.sentAt = s.now
+		if p.Type == structs.TypePlaceAlone {
+			p.Message = &structs.PlaceAlone{Place: *m}
+		}
 		s.actions = append(s.actions, p)
 		s.log(LogEntry{
 			Message: MessagePlaced, Job: m.Job, Agent: p.Agent, Server: srv.report.Server, Tasks: len(m.Tasks),
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -119,6 +119,8 @@
 	logSlowness float64
 	// changed is set if the server may have become suitable for a waiting job since the last Flush.
 	changed bool
+	// placesAlone is set if the agent accepts PlaceAlone.
+	placesAlone bool
 	// fullUntil is the time until which no task of a priority may be queued there, because one was returned for lack
 	// of resources.
 	fullUntil map[int]time.Duration
@@ -137,6 +139,7 @@
 type Scheduler struct {
 	options       Options
 	now           time.Duration
+	startedAt     time.Duration
 	servers       map[structs.AgentID]*server
 	sortedServers []*server
 	// serverFoundAt is when a server was last linked for the first time.
@@ -168,9 +171,10 @@
 	revision       uint64
 	actions        []Action
 	// placements collects the Place messages of a Flush, so that tasks of one step for one agent share a message.
-	placements []Send
-	stops      map[*server][]uint64
-	crashes    *crashHistory
+	placements  []Send
+	stops       map[*server][]uint64
+	crashes     *crashHistory
+	quarantines *quarantines
 }
 
 // New returns a scheduler that knows no servers.
@@ -179,10 +183,10 @@
 		options.OffRackFactor = 1
 	}
 	return &Scheduler{
-		options: options, now: now,
+		options: options, now: now, startedAt: now,
 		servers: map[structs.AgentID]*server{}, serversByZone: map[string][]*server{}, models: map[string]*runTimeModel{}, jobs: map[string]*job{},
 		tasks: map[uint64]*task{}, zonesOut: map[string]bool{}, stops: map[*server][]uint64{},
-		crashes: newCrashHistory(),
+		crashes: newCrashHistory(), quarantines: newQuarantines(),
 	}
 }
 
@@ -276,6 +280,7 @@
 	if s.crashes.byJob[in.Job.ID] > 0 {
 		j.mayHaveRun = true
 		if _, guilty := s.crashes.guilty[in.Job.ID]; guilty {
+			s.beginQuarantine(j.route, "job "+in.Job.ID+" crashed "+s.crashes.evidence(in.Job.ID))
 			s.giveUp(j)
 			return
 		}
@@ -468,9 +473,18 @@
 	srv.linked, srv.tasksEndBy = true, 0
 	srv.resources, srv.unacknowledged = structs.ResourceReport{}, nil
 	srv.report.Open = false
+	srv.placesAlone = false
 	s.setSlowness(srv, 0)
 }
 
+// HandleFeatures handles which optional messages an agent understands.
+func (s *Scheduler) HandleFeatures(now time.Duration, id structs.AgentID, in *structs.Features) {
+	s.advance(now)
+	if srv := s.servers[id]; srv != nil {
+		srv.placesAlone = in.PlaceAlone
+	}
+}
+
 func compareServers(a, b *server) int { return cmp.Compare(a.id, b.id) }
 
 func insertServer(servers []*server, srv *server) []*server {
@@ -591,6 +605,7 @@
 	case structs.PlacementDone:
 		t.state = done
 		s.recordRunTime(srv, st, e)
+		s.observeUsage(j.route.Name, st.spec.Need, e.RunTime)
 		s.taskDone(j, st)
 	case structs.PlacementFailed:
 		s.taskFailed(t, srv)
--- a/internal/schedule/simulation_test.go
+++ b/internal/schedule/simulation_test.go
@@ -285,8 +285,13 @@
 
 // receiveNotice passes a notice of the agent to the gateway.
 func (l *simulatedLink) receiveNotice(now time.Duration, message any) {
-	if report, ok := message.(*structs.CrashReport); ok {
-		l.g.machine.HandleCrashReport(now, l.a.id, report)
+	switch m := message.(type) {
+	case *structs.CrashReport:
+		l.g.machine.HandleCrashReport(now, l.a.id, m)
+	case *structs.Features:
+		l.g.machine.HandleFeatures(now, l.a.id, m)
+	case *structs.Quarantine:
+		l.g.machine.HandleQuarantine(now, m)
 	}
 }
 
@@ -418,8 +423,12 @@
 			a.sim.log(taskName(m.Job, m.Step, t.Index), "%s places run %d at %s", ref.ID, t.Run, a.id)
 		}
 		a.machine.Place(a.sim.now, ref, m)
+	case *structs.PlaceAlone:
+		a.machine.PlaceAlone(a.sim.now, ref, m)
 	case *structs.Stop:
 		a.machine.Stop(a.sim.now, ref, m)
+	case *structs.Quarantine:
+		a.machine.RelayQuarantine(a.sim.now, m)
 	}
 }
 
--- a/internal/structs/placement_messages.go
+++ b/internal/structs/placement_messages.go
@@ -20,6 +20,12 @@
 	TypeServerHealth
 	// From agent to gateway. Gateways that do not know the type ignore it.
 	TypeCrashReport
+	// In both directions. Processes that do not know the type ignore it.
+	TypeQuarantine
+	// From agent to gateway. Gateways that do not know the type ignore it.
+	TypeFeatures
+	// From gateway to an agent whose Features allow it.
+	TypePlaceAlone
 )
 
 // Times and limits that gateways and agents share.
@@ -176,6 +182,20 @@
 	Tasks       []PlacedTask
 }
 
+// PlaceAlone gives tasks to an agent like Place. They start only while no task of another job runs on the server, and until
+// they have ended none is started.
+type PlaceAlone struct {
+	_     struct{} `cbor:",toarray"`
+	Place Place
+}
+
+// Features says which optional messages an agent understands. It is sent at the start of a link; earlier versions send none.
+type Features struct {
+	_ struct{} `cbor:",toarray"`
+	// PlaceAlone is set if the agent accepts PlaceAlone.
+	PlaceAlone bool
+}
+
 // PlacedTask is one task of a Place or Resume.
 type PlacedTask struct {
 	_ struct{} `cbor:",toarray"`
@@ -261,3 +281,23 @@
 	// Age is the time from the request to start the run to the crash.
 	Age time.Duration
 }
+
+// Quarantine is the state of the quarantine of a queue whose tasks crash servers. A gateway sends it to some agents, and these
+// send it to all gateways, also on new links for some time.
+type Quarantine struct {
+	_       struct{} `cbor:",toarray"`
+	Route   string
+	Service string
+	// Version grows with each change. A state with a lower one is out of date.
+	Version uint64
+	Active  bool
+	// Share is the queue's share of the use of the service's servers, and Servers names the agents of those that are set
+	// apart for all queues in quarantine.
+	Share   float64
+	Servers []AgentID
+	// Age is the time since the last crash under the queue's tasks. The quarantine lasts Duration from then.
+	Age      time.Duration
+	Duration time.Duration
+	// Evidence says which crashes led to the state, for people.
+	Evidence string
+}
--- a/internal/supervisor/crash.go
+++ b/internal/supervisor/crash.go
@@ -92,3 +92,21 @@
 		},
 	})
 }
+
+// RelayQuarantine passes the state of a quarantine from one gateway on to the others, unless it is out of date.
+func (s *Supervisor) RelayQuarantine(now time.Duration, in *structs.Quarantine) {
+	s.advance(now)
+	if in.Version <= s.quarantineVersions[in.Route] {
+		return
+	}
+	s.quarantineVersions[in.Route] = in.Version
+	state := *in
+	s.addNotice(notice{
+		key: "quarantine/" + in.Route, at: s.now, typ: structs.TypeQuarantine,
+		message: func(age time.Duration) any {
+			aged := state
+			aged.Age += age
+			return &aged
+		},
+	})
+}
--- a/internal/supervisor/crash_test.go
+++ b/internal/supervisor/crash_test.go
@@ -100,3 +100,47 @@
 	require.Len(t, h.crashes, 2)
 	require.Empty(t, h.crashes[1].Runs)
 }
+
+// TestTaskPlacedAloneRunsAlone guards against a crash that does not tell which of several suspected tasks is to blame.
+func TestTaskPlacedAloneRunsAlone(t *testing.T) {
+	h := newHarness(t)
+	h.place("beside", 1, 1, nil)
+	h.answerStarts(AnswerOK)
+	h.supervisor.PlaceAlone(h.now, h.gateway, &structs.PlaceAlone{Place: structs.Place{
+		Seq: 9, Job: "suspect", Need: structs.Resources{CPU: 1000}, Tasks: []structs.PlacedTask{{ID: 7, Run: 1}},
+	}})
+	h.flush()
+	require.Empty(t, h.starts, "another job's task runs")
+	h.end("beside00", 1)
+	require.Equal(t, []RunRef{{Task: "suspect00", Run: 1}}, h.starts)
+	h.answerStarts(AnswerOK)
+	h.place("later", 8, 1, nil)
+	require.Empty(t, h.starts, "the suspected task runs")
+	h.end("suspect00", 2)
+	require.Equal(t, []RunRef{{Task: "later00", Run: 1}}, h.starts)
+}
+
+// end lists a run as completed.
+func (h *harness) end(task string, number uint64) {
+	h.now += 10 * time.Millisecond
+	h.supervisor.HandleList(h.now, RunList{StartTime: 10, RequestedAt: h.now, Ended: []ListedEnd{
+		{RunRef: RunRef{Task: task, Run: 1}, Number: number, End: EndDone},
+	}})
+	h.flush()
+}
+
+// TestQuarantineIsPassedOn guards against gateways that do not learn of a quarantine, or get it without end.
+func TestQuarantineIsPassedOn(t *testing.T) {
+	h := newHarness(t)
+	h.supervisor.RelayQuarantine(h.now, &structs.Quarantine{Route: "r", Version: 2, Active: true, Age: time.Second})
+	h.flush()
+	h.supervisor.RelayQuarantine(h.now, &structs.Quarantine{Route: "r", Version: 1})
+	h.supervisor.RelayQuarantine(h.now, &structs.Quarantine{Route: "r", Version: 2})
+	h.flush()
+	require.Len(t, h.quarantines, 1)
+	h.now += 700 * time.Millisecond
+	h.supervisor.GatewayLinked(h.now, &structs.Resume{Gateway: structs.GatewayRef{ID: "g", Incarnation: 2}})
+	h.flush()
+	require.Len(t, h.quarantines, 2)
+	require.Equal(t, 1700*time.Millisecond, h.quarantines[1].Age)
+}
--- a/internal/supervisor/flush.go
+++ b/internal/supervisor/flush.go
@@ -90,18 +90,29 @@
 	}
 	for i := 0; i < len(s.queue); {
 		run := s.queue[i]
-		if s.server.Capacity.Sub(s.usedResources).Covers(run.need) && !s.hasActiveRun(run.Task) {
+		if s.mayRunBeside(run) && s.server.Capacity.Sub(s.usedResources).Covers(run.need) && !s.hasActiveRun(run.Task) {
 			s.dequeue(run)
 			s.start(run)
 			continue
 		}
-		if s.now-run.placedAt >= BackfillLimit && !s.hasActiveRun(run.Task) {
+		if s.now-run.placedAt >= BackfillLimit && !s.hasActiveRun(run.Task) && !run.alone {
 			return
 		}
 		i++
 	}
 }
 
+// mayRunBeside reports whether a run may be started beside the active ones: runs that must be alone have none of another job
+// beside them.
+func (s *Supervisor) mayRunBeside(run *run) bool {
+	for _, other := range s.activeRuns {
+		if (run.alone || other.alone) && other.job != run.job {
+			return false
+		}
+	}
+	return true
+}
+
 // hasActiveRun reports whether the server may have a run of a task.
 func (s *Supervisor) hasActiveRun(task string) bool { return s.activeRunsByTask[task] > 0 }
 
@@ -247,6 +258,10 @@
 
 // sendTo sends a gateway the messages that are due. Resource reports without an event are at least interval apart.
 func (s *Supervisor) sendTo(g *gateway, interval time.Duration) {
+	if g.featuresDue {
+		g.featuresDue = false
+		s.send(g, structs.TypeFeatures, &structs.Features{PlaceAlone: true})
+	}
 	s.sendNotices(g)
 	if g.serverReportDue {
 		g.serverReportDue, g.reportDue = false, true
@@ -318,6 +333,9 @@
 		report.Queues[last].CPU += run.need.CPU
 	}
 	for _, run := range s.activeRuns {
+		if run.alone {
+			report.Free = structs.Resources{}
+		}
 		if run.expectedRunTime > 0 {
 			report.ReleaseRate += float32(run.need.CPU) / float32(run.expectedRunTime.Milliseconds()+1)
 		}
--- a/internal/supervisor/gateways.go
+++ b/internal/supervisor/gateways.go
@@ -39,6 +39,8 @@
 	// pendingResume and pendingStops keep the gateway's first message and its stops until the runs are reconciled.
 	pendingResume *structs.Resume
 	pendingStops  []uint64
+	// featuresDue is set until the features are sent on the link.
+	featuresDue bool
 	// lastNotice is the number of the last notice that was sent on the link.
 	lastNotice uint64
 }
@@ -55,7 +57,7 @@
 	}
 	g.timedOut = false
 	g.linked, g.lastContact, g.serverReportDue, g.events, g.pendingResume, g.pendingStops = true, s.now, true, nil, in, nil
-	g.sentSlowness, g.lastNotice = 0, 0
+	g.sentSlowness, g.lastNotice, g.featuresDue = 0, 0, true
 	if s.reconciled {
 		s.reconcileTasks(g)
 	}
@@ -192,6 +194,15 @@
 
 // Place handles a gateway's placement of tasks.
 func (s *Supervisor) Place(now time.Duration, ref structs.GatewayRef, in *structs.Place) {
+	s.place(now, ref, in, false)
+}
+
+// PlaceAlone handles a gateway's placement of tasks beside which no task of another job may run.
+func (s *Supervisor) PlaceAlone(now time.Duration, ref structs.GatewayRef, in *structs.PlaceAlone) {
+	s.place(now, ref, &in.Place, true)
+}
+
+func (s *Supervisor) place(now time.Duration, ref structs.GatewayRef, in *structs.Place, alone bool) {
 	s.advance(now)
 	g := s.gateways[ref]
 	if g == nil || !g.linked {
@@ -207,7 +218,7 @@
 		run := &run{
 			RunRef: RunRef{Task: s.options.TaskName(in.Job, in.Step, t.Index), Run: t.Run},
 			id:     t.ID, job: in.Job, step: in.Step, index: t.Index, gateway: g, assumedSlowness: g.sentSlowness, payload: in.Payload, need: in.Need, expectedRunTime: in.ExpectedRunTime,
-			priority: in.Priority, arrival: s.now - in.Age, placedAt: s.now,
+			alone: alone, priority: in.Priority, arrival: s.now - in.Age, placedAt: s.now,
 		}
 		if in.StartWithin > 0 {
 			run.startBy = s.now + in.StartWithin
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -27,11 +27,13 @@
 	// id is the gateway's number of the placement.
 	id uint64
 	// job, step and index identify the task. They are not known of a run that was found and has not been claimed.
-	job             string
-	step, index     int
-	gateway         *gateway // nil for a run that was found and has not been claimed
-	payload         string
-	need            structs.Resources
+	job         string
+	step, index int
+	gateway     *gateway // nil for a run that was found and has not been claimed
+	payload     string
+	need        structs.Resources
+	// alone is set if no task of another job may run at the same time.
+	alone           bool
 	expectedRunTime time.Duration
 	// priority and arrival order the queued runs.
 	priority int
@@ -131,7 +133,9 @@
 	crashReported bool
 	notices       []notice
 	lastNotice    uint64
-	actions       []Action
+	// quarantineVersions holds the versions of the quarantines that were passed on, by queue.
+	quarantineVersions map[string]uint64
+	actions            []Action
 }
 
 // New returns a supervisor that does not know its server yet.
@@ -141,7 +145,7 @@
 		gateways:   map[structs.GatewayRef]*gateway{},
 		activeRuns: map[RunRef]*run{}, activeRunsByTask: map[string]int{},
 		highestRuns:   map[string]usedRunNumber{},
-		unclaimedEnds: map[RunRef]unclaimedEnd{},
+		unclaimedEnds: map[RunRef]unclaimedEnd{}, quarantineVersions: map[string]uint64{},
 		suspension:    suspension{failedJobs: map[string]bool{}},
 		token:         options.Token,
 		claimDeadline: now + ClaimTimeout,
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -21,6 +21,7 @@
 	events      []structs.PlacementEvent
 	reports     []*structs.ServerReport
 	crashes     []*structs.CrashReport
+	quarantines []*structs.Quarantine
 	closedLinks int
 	seq         uint64
 }
@@ -55,6 +56,8 @@
 				h.reports = append(h.reports, m)
 			case *structs.CrashReport:
 				h.crashes = append(h.crashes, m)
+			case *structs.Quarantine:
+				h.quarantines = append(h.quarantines, m)
 			}
 		}
 	}
