--- a/internal/schedule/crashes.go
+++ b/internal/schedule/crashes.go
@@ -45,6 +45,8 @@
 	// culprit is the job to blame, empty while it is not known.
 	culprit string
 	judged  bool
+	// apart is set if the server was set apart for queues in quarantine.
+	apart bool
 }
 
 // crashHistory holds the recent crashes of servers, and decides which jobs are to blame. All gateways get the same reports,
@@ -311,6 +313,7 @@
 	if c == nil {
 		return
 	}
+	c.apart = s.isApart(id)
 	s.log(LogEntry{Message: "server crash reported", Agent: id, Server: in.Server, Detail: "jobs " + strings.Join(c.jobs(), ", ")})
 	for _, jobID := range c.jobs() {
 		if j := s.jobs[jobID]; j != nil {
@@ -323,7 +326,7 @@
 // judgeCrashes ends the jobs that are to blame for crashes.
 func (s *Scheduler) judgeCrashes() {
 	s.crashes.prune(s.now)
-	found := s.crashes.judge(s.now)
+	found := slices.DeleteFunc(s.crashes.judge(s.now), s.acquit)
 	s.updateQuarantines(found)
 	for _, jobID := range found {
 		if j := s.jobs[jobID]; j != nil && !j.ended {
@@ -332,6 +335,30 @@
 	}
 }
 
+// acquit withdraws the blame from a job that is in too few crashes without those of servers that are set apart for other queues.
+func (s *Scheduler) acquit(jobID string) bool {
+	j := s.jobs[jobID]
+	if j == nil || s.inQuarantine(j.route.Name) {
+		return false
+	}
+	own := 0
+	for _, c := range s.crashes.crashes {
+		if c.culprit == jobID && !c.apart {
+			own++
+		}
+	}
+	if own >= giveUpCrashes {
+		return false
+	}
+	delete(s.crashes.guilty, jobID)
+	for _, c := range s.crashes.crashes {
+		if c.culprit == jobID {
+			c.culprit = ""
+		}
+	}
+	return true
+}
+
 // giveUp ends a job whose task crashes the servers that run it.
 func (s *Scheduler) giveUp(j *job) {
 	s.log(LogEntry{Message: MessageGivenUp, Job: j.spec.ID, Detail: j.route.Name + " crashed " + s.crashes.evidence(j.spec.ID)})
--- a/internal/schedule/quarantine.go
+++ b/internal/schedule/quarantine.go
@@ -401,6 +401,16 @@
 	return len(srv.unacknowledged) == 0 && len(srv.resources.Queues) == 0 && srv.resources.Free == srv.report.Capacity
 }
 
+// isApart reports whether a server is set apart for queues in quarantine.
+func (s *Scheduler) isApart(id structs.AgentID) bool {
+	for _, apart := range s.quarantines.apart {
+		if apart[id] {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitsQuarantine reports whether a job of a queue in quarantine cannot be served now, since no server that is set apart
 // accepts tasks.
 func (s *Scheduler) awaitsQuarantine(j *job) bool {
