Agent: a late heartbeat does not undo a later one of the same server

A delayed heartbeat would give a shrunken server its old capacity back, or take a draining one into service again, until the next heartbeat 1.5 s later: tasks above the capacity of a server that does not guard it, and tasks on a server that leaves. Heartbeats of the same incarnation with a lower sequence are now ignored. The test failed before (capacity 4000 instead of 2000).

--- a/internal/platformagent/agent_test.go
+++ b/internal/platformagent/agent_test.go
@@ -109,3 +109,22 @@
 	a.applyOperatorState(now, &structs.OperatorState{Revision: 7, Routing: []byte("newer"), ZonesOut: []string{"z"}})
 	require.EqualValues(t, 7, a.wholeState.Revision)
 }
+
+// TestLateHeartbeatDoesNotUndoALaterOne guards against tasks on a server that is draining, or above a capacity that has shrunk,
+// caused by a heartbeat of the same incarnation that was delayed.
+func TestLateHeartbeatDoesNotUndoALaterOne(t *testing.T) {
+	a := New(Options{
+		Settings: platform.Settings{Name: "a", StoreAddress: "127.0.0.1:1", ServerAddress: "127.0.0.1:1"},
+		Self:     structs.AgentRef{ID: "a", Incarnation: 1}, Logger: log.NewNopLogger(), Metrics: telemetry.NewMetrics("test", nil),
+	})
+	go func() { _ = a.loop.Run(t.Context()) }()
+	report := func() (r structs.ServerReport) {
+		a.loop.Call(func(time.Duration) { r = *a.supervisor.ServerReport() })
+		return r
+	}
+	a.backend.heartbeatReceived(platform.Heartbeat{ID: "s", StartTime: 10, Sequence: 3, Capacity: structs.Resources{CPU: 2000}, Draining: true})
+	a.backend.heartbeatReceived(platform.Heartbeat{ID: "s", StartTime: 10, Sequence: 2, Capacity: structs.Resources{CPU: 4000}})
+	require.EqualValues(t, 2000, report().Capacity.CPU)
+	a.backend.heartbeatReceived(platform.Heartbeat{ID: "s", StartTime: 20, Sequence: 1, Capacity: structs.Resources{CPU: 3000}})
+	require.EqualValues(t, 3000, report().Capacity.CPU, "a new incarnation counts anew")
+}
--- a/internal/platformagent/backend.go
+++ b/internal/platformagent/backend.go
@@ -49,6 +49,8 @@
 	// known.
 	server    string
 	startTime int64
+	// sequence is that of the last heartbeat of this incarnation.
+	sequence uint64
 	// stored describes the report that is in the store, unstored is a newer one that must replace it or nil. With remove
 	// set, the report must be removed because its server has left.
 	stored   storedReport
@@ -95,8 +97,12 @@
 		c.mu.Unlock()
 		return // sent before the server left
 	}
+	if heartbeat.ID == c.server && heartbeat.StartTime == c.startTime && heartbeat.StartTime != 0 && heartbeat.Sequence < c.sequence {
+		c.mu.Unlock()
+		return // a late one: a later heartbeat has said what the server is and has now
+	}
 	changed := c.server != heartbeat.ID || c.startTime != heartbeat.StartTime
-	c.server, c.startTime = heartbeat.ID, heartbeat.StartTime
+	c.server, c.startTime, c.sequence = heartbeat.ID, heartbeat.StartTime, heartbeat.Sequence
 	c.unstored, c.remove = nil, false
 	if c.stored != describeReport(heartbeat) {
 		c.unstored = &heartbeat
