--- a/internal/platformagent/agent_test.go
+++ b/internal/platformagent/agent_test.go
@@ -128,3 +128,20 @@
 	a.backend.heartbeatReceived(platform.Heartbeat{ID: "s", StartTime: 20, Sequence: 1, Capacity: structs.Resources{CPU: 3000}})
 	require.EqualValues(t, 3000, report().Capacity.CPU, "a new incarnation counts anew")
 }
+
+// TestShrunkenCapacityIsStored guards against an agent that starts with the capacity that its server had before it shrank.
+func TestShrunkenCapacityIsStored(t *testing.T) {
+	a := New(Options{
+		Settings: platform.Settings{Name: "a", StoreAddress: "127.0.0.1:1", ServerAddress: "127.0.0.1:1"},
+		Self:     structs.AgentRef{ID: "a", Incarnation: 1}, Logger: log.NewNopLogger(), Metrics: telemetry.NewMetrics("test", nil),
+	})
+	first := platform.Heartbeat{ID: "s", StartTime: 10, Sequence: 1, Capacity: structs.Resources{CPU: 4000}}
+	a.backend.stored = describeReport(first)
+	a.backend.heartbeatReceived(first)
+	unstored, _ := a.backend.unstoredReport()
+	require.Nil(t, unstored)
+	a.backend.heartbeatReceived(platform.Heartbeat{ID: "s", StartTime: 10, Sequence: 2, Capacity: structs.Resources{CPU: 2000}})
+	unstored, _ = a.backend.unstoredReport()
+	require.NotNil(t, unstored)
+	require.EqualValues(t, 2000, unstored.Capacity.CPU)
+}
--- a/internal/platformagent/report.go
+++ b/internal/platformagent/report.go
@@ -8,6 +8,7 @@
 
 	"rosedrift.example/rosedrift/internal/ctxtime"
 	"rosedrift.example/rosedrift/internal/store"
+	"rosedrift.example/rosedrift/internal/structs"
 	"rosedrift.example/rosedrift/platform"
 )
 
@@ -26,10 +27,11 @@
 	server    string
 	startTime int64
 	draining  bool
+	capacity  structs.Resources
 }
 
 func describeReport(heartbeat platform.Heartbeat) storedReport {
-	return storedReport{server: heartbeat.ID, startTime: heartbeat.StartTime, draining: heartbeat.Draining}
+	return storedReport{server: heartbeat.ID, startTime: heartbeat.StartTime, draining: heartbeat.Draining, capacity: heartbeat.Capacity}
 }
 
 // restoreReport reads the last heartbeat that an earlier agent has written to the store. The agent uses it until the
