Agent: do not repeat a start on a server that has shrunk

If the first request was not carried out, the repeated one brings a server that does not guard its capacity above it. It now waits until the runs fit, or ends as not answered. TestStartIsNotRepeatedOnAShrunkenServer failed before. Ruled out, with tests that pass on the old code too: a queued task that starts after the server has shrunk, and while stopped runs have not ended (TestShrunkenServerIsNotOverfilled), a start beside found runs of unknown need (their lease limit holds starts back: TestNothingStartsBesideRunsOfUnknownNeed).

--- a/internal/supervisor/flush.go
+++ b/internal/supervisor/flush.go
@@ -154,7 +154,7 @@
 	}
 	slices.SortFunc(due, compareRuns)
 	for _, run := range due {
-		if s.leaseLimit() <= s.now {
+		if s.leaseLimit() <= s.now || !s.server.Capacity.Covers(s.usedResources) {
 			run.retryAt = s.now + s.startRetryDelay()
 			continue
 		}
