Agent: return a start that reached no server at once

Callers whose task was placed on a server that had just crashed waited a second for its lease, or 3 s for the restarted server's list: a refused connection counted as no answer, so the run was kept as one that may still start. Nothing was sent on such a connection: the answer is now a refusal, as of an unhealthy server, and the gateway places the task elsewhere. The test failed before (not idle within 0.3 s).

--- a/internal/platformagent/agent_test.go
+++ b/internal/platformagent/agent_test.go
@@ -145,3 +145,33 @@
 	require.NotNil(t, unstored)
 	require.EqualValues(t, 2000, unstored.Capacity.CPU)
 }
+
+// TestStartThatReachesNoServerIsReturned guards against a task that waits for the lease of a run that no server has got: its
+// server has just crashed.
+func TestStartThatReachesNoServerIsReturned(t *testing.T) {
+	server := httptest.NewServer(nil)
+	address := strings.TrimPrefix(server.URL, "http://")
+	server.Close()
+	a := New(Options{
+		Settings: platform.Settings{Name: "a", StoreAddress: "127.0.0.1:1", ServerAddress: address, Bounds: platform.Bounds{RunLease: time.Second}},
+		Self:     structs.AgentRef{ID: "a", Incarnation: 1}, Logger: log.NewNopLogger(), Metrics: telemetry.NewMetrics("test", nil),
+	})
+	go func() { _ = a.loop.Run(t.Context()) }()
+	gateway := structs.GatewayRef{ID: "g", Incarnation: 1}
+	a.loop.Call(func(now time.Duration) {
+		a.supervisor.SetServer(now, supervisor.Server{ID: "s", StartTime: 10, Service: "svc", Capacity: structs.Resources{CPU: 4000}})
+		a.supervisor.HandleList(now, supervisor.RunList{StartTime: 10, RequestedAt: now})
+		a.supervisor.GatewayLinked(now, &structs.Resume{Gateway: gateway})
+	})
+	a.backend.setClock(500)
+	a.loop.Call(func(now time.Duration) {
+		a.supervisor.Place(now, gateway, &structs.Place{
+			Seq: 1, Job: "j", Need: structs.Resources{CPU: 1000}, Tasks: []structs.PlacedTask{{ID: 1, Run: 1}},
+		})
+	})
+	require.Eventually(t, func() bool {
+		idle := false
+		a.loop.Call(func(time.Duration) { idle = a.supervisor.Idle() })
+		return idle
+	}, 300*time.Millisecond, 5*time.Millisecond, "shorter than the lease of a run")
+}
--- a/internal/platformagent/backend.go
+++ b/internal/platformagent/backend.go
@@ -176,6 +176,9 @@
 			Token: action.Token,
 		})
 		c.setClock(clock)
+		if platform.IsConnectionRefused(err) {
+			answer = platform.AnswerUnhealthy // nothing was sent: no connection was established
+		}
 	} else {
 		// Nothing is sent: without the server's clock there is no deadline, and a process that was paused must not
 		// start a run after its lease.
