Soak: tasks that crash their server, servers that shrink, servers that do not guard their capacity

The stand-in of a backend server crashes under a task (its address refuses connections until it is restarted), changes its capacity and, without a guard of its own, counts the starts above it.

--- a/internal/standin/platform_server.go
+++ b/internal/standin/platform_server.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -26,6 +27,14 @@
 	// RunTime is how long each task runs. If RunTimeOf is set, it takes the run time from the payload instead.
 	RunTime   time.Duration
 	RunTimeOf func(payload string) time.Duration
+	// Address is the address to listen on. It is a free port on 127.0.0.1 if it is empty.
+	Address string
+	// CrashAfter, if set, returns after what time a task crashes the server, by its name and payload, or 0 if it does not. The
+	// server is restarted after CrashTime.
+	CrashAfter func(task, payload string) time.Duration
+	CrashTime  time.Duration
+	// Unguarded makes the server start tasks above its capacity.
+	Unguarded bool
 	// Observe, if set, is called at each start and each end of a run. A restart of the server ends its runs with EndOther.
 	// Observe must not call the server, whose lock is held.
 	Observe func(task string, started bool, end platform.RunEnd)
@@ -74,6 +83,14 @@
 	sequence uint64
 	starts   int
 	overlaps int
+	// shrunkAt is when the capacity was last reduced. overfilled counts the starts above the capacity that were no longer
+	// excused by shrinkGrace.
+	shrunkAt   time.Time
+	overfilled int
+	crashes    map[string]int
+	// down is set from a crash until the restart. up is signalled when the server listens again after a crash.
+	down bool
+	up   chan struct{}
 	// runEnded is closed and replaced whenever a run ends.
 	runEnded chan struct{}
 }
@@ -89,24 +106,96 @@
 
 // NewPlatformServer returns a server that listens on a loopback port. It serves no requests before Run.
 func NewPlatformServer(options PlatformServerOptions) (*PlatformServer, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if options.Address == "" {
+		options.Address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", options.Address)
 	if err != nil {
 		return nil, err
 	}
 	s := &PlatformServer{
 		options: options, listener: listener, startTime: time.Now(), runs: map[string]*platformRun{},
-		highestRun: map[string]uint32{}, runEnded: make(chan struct{}),
+		highestRun: map[string]uint32{}, runEnded: make(chan struct{}), crashes: map[string]int{}, up: make(chan struct{}, 1),
 	}
+	s.server = &http.Server{Handler: s.handler()}
+	return s, nil
+}
+
+func (s *PlatformServer) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+platform.PathRunStart, s.handleStart)
 	mux.HandleFunc("POST "+platform.PathRunStop, s.handleStop)
 	mux.HandleFunc("POST "+platform.PathListRuns, s.handleListRuns)
-	s.server = &http.Server{Handler: mux}
-	return s, nil
+	return mux
 }
 
 // Address returns the address for requests.
-func (s *PlatformServer) Address() string { return s.listener.Addr().String() }
+func (s *PlatformServer) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listener.Addr().String()
+}
+
+// shrinkGrace is how long after a reduction of the capacity starts above it are excused: the platform's contact time of 3 s and
+// one heartbeat.
+const shrinkGrace = 3500 * time.Millisecond
+
+// SetCapacity changes the capacity, which the next heartbeat reports.
+func (s *PlatformServer) SetCapacity(capacity structs.Resources) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !capacity.Covers(s.options.Capacity) {
+		s.shrunkAt = time.Now()
+	}
+	s.options.Capacity = capacity
+}
+
+// Overfilled returns the number of starts that brought the server above its capacity, other than just after a reduction.
+func (s *PlatformServer) Overfilled() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.overfilled
+}
+
+// Crashes returns how often each task has crashed the server.
+func (s *PlatformServer) Crashes() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.crashes)
+}
+
+// crash ends the server's process under a run, unless the run has ended. Its address refuses connections until the server is
+// restarted after CrashTime.
+func (s *PlatformServer) crash(task string, run *platformRun) {
+	s.mu.Lock()
+	if s.runs[task] != run {
+		s.mu.Unlock()
+		return
+	}
+	s.crashes[task]++
+	address := s.listener.Addr().String()
+	server := s.server
+	s.down = true
+	s.mu.Unlock()
+	_ = server.Close() // its listener and connections
+	s.Restart()
+	time.AfterFunc(s.options.CrashTime, func() { s.listenAgain(address) })
+}
+
+// listenAgain listens on the address of a server that has crashed. The address belongs to this server alone, so a failure can
+// only mean that the earlier connections are not closed yet.
+func (s *PlatformServer) listenAgain(address string) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		time.AfterFunc(s.options.CrashTime, func() { s.listenAgain(address) })
+		return
+	}
+	s.Restart()
+	s.mu.Lock()
+	s.listener, s.server, s.down = listener, &http.Server{Handler: s.handler()}, false
+	s.mu.Unlock()
+	s.up <- struct{}{}
+}
 
 // SetFaults replaces the faults.
 func (s *PlatformServer) SetFaults(f PlatformServerFaults) {
@@ -156,10 +245,20 @@
 
 // Run serves requests and sends heartbeats until the context ends.
 func (s *PlatformServer) Run(ctx context.Context, heartbeat time.Duration) {
-	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
-	defer stop()
 	go s.heartbeatLoop(ctx, heartbeat)
-	_ = s.server.Serve(s.listener) // returns when the context ends
+	for {
+		s.mu.Lock()
+		server, listener := s.server, s.listener
+		s.mu.Unlock()
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		_ = server.Serve(listener) // returns when the context ends or the server crashes
+		stop()
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.up:
+		}
+	}
 }
 
 func (s *PlatformServer) heartbeatLoop(ctx context.Context, interval time.Duration) {
@@ -177,13 +276,13 @@
 
 func (s *PlatformServer) sendHeartbeat(ctx context.Context) {
 	s.mu.Lock()
-	if s.faults.NoHeartbeats {
+	if s.faults.NoHeartbeats || s.down {
 		s.mu.Unlock()
 		return
 	}
 	s.sequence++
 	heartbeat := platform.Heartbeat{
-		ID: s.options.ID, Service: s.options.Service, Zone: s.options.Zone, Address: s.Address(),
+		ID: s.options.ID, Service: s.options.Service, Zone: s.options.Zone, Address: s.listener.Addr().String(),
 		StartTime: s.startTime.UnixMilli(), Sequence: s.sequence, Draining: s.faults.Draining, Capacity: s.options.Capacity,
 	}
 	s.mu.Unlock()
@@ -288,9 +387,12 @@
 		return "old"
 	case request.Deadline < s.clock():
 		return "late"
-	case !s.options.Capacity.Sub(s.used).Covers(need):
+	case !s.options.Unguarded && !s.options.Capacity.Sub(s.used).Covers(need):
 		return "room"
 	}
+	if !s.options.Capacity.Sub(s.used).Covers(need) && time.Since(s.shrunkAt) > shrinkGrace {
+		s.overfilled++
+	}
 	if running != nil {
 		s.overlaps++
 	}
@@ -305,6 +407,11 @@
 	}
 	run.timer = time.AfterFunc(run.duration, func() { s.finish(request.Task, run) })
 	s.runs[request.Task] = run
+	if s.options.CrashAfter != nil {
+		if after := s.options.CrashAfter(request.Task, request.Payload); after > 0 {
+			time.AfterFunc(after, func() { s.crash(request.Task, run) })
+		}
+	}
 	if s.options.Observe != nil {
 		s.options.Observe(request.Task, true, 0)
 	}
