--- a/cmd/rosedrift/main.go
+++ b/cmd/rosedrift/main.go
@@ -49,7 +49,8 @@
 // Description implements arg.Described.
 func (options) Description() string {
 	return "Operates rosedrift. \"rosedrift help\" lists the commands, \"rosedrift completion bash\" prints completion for bash. " +
-		"\"rosedrift why job ID logs\" explains a job of the users' platform from log lines on standard input."
+		"\"rosedrift why job ID logs\" explains a job of the users' platform from log lines on standard input, \"rosedrift quarantines\" " +
+		"lists its queues in quarantine and \"rosedrift quarantines lift QUEUE\" ends one; --gateway is then a gateway's metrics address."
 }
 
 // Epilogue implements arg.Epilogued.
@@ -125,6 +126,8 @@
 		return s.createKey()
 	case "import":
 		return s.importFile(ctx)
+	case "quarantines":
+		return s.quarantines(ctx)
 	}
 	if s.isWhyLogs() {
 		return s.whyLogs()
--- a/internal/schedule/api.go
+++ b/internal/schedule/api.go
@@ -128,6 +128,9 @@
 	Age             time.Duration
 }
 
+// QuarantinesPath is the path of the gateways' list of queues in quarantine. A queue in it is the path with the name of the queue.
+const QuarantinesPath = "/quarantines"
+
 // QuarantineState describes a queue in quarantine.
 type QuarantineState struct {
 	Route    string `json:"queue"`
--- a/internal/telemetry/serve.go
+++ b/internal/telemetry/serve.go
@@ -12,15 +12,24 @@
 // MetricsPath is the URL path under which ServeMetrics serves the metrics.
 const MetricsPath = "/metrics"
 
-// ServeMetrics serves the metrics at an address (host:port) until the context ends. With an empty address it serves
-// none and waits for the end of the context.
-func ServeMetrics(ctx context.Context, address string, metrics *Metrics) error {
+// Route is a handler that is served beside the metrics. Pattern is that of an http.ServeMux.
+type Route struct {
+	Pattern string
+	Handler http.HandlerFunc
+}
+
+// ServeMetrics serves the metrics and further routes at an address (host:port) until the context ends. With an empty address
+// it serves none and waits for the end of the context.
+func ServeMetrics(ctx context.Context, address string, metrics *Metrics, routes ...Route) error {
 	if address == "" {
 		<-ctx.Done()
 		return ctx.Err()
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+MetricsPath, metrics)
+	for _, route := range routes {
+		mux.HandleFunc(route.Pattern, route.Handler)
+	}
 	const readTimeout = 5 * time.Second // a scraper sends a single short request
 	return ServeHTTP(ctx, &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: readTimeout}, ListenTCP)
 }
