--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -123,7 +123,7 @@
 		if reason == schedule.ReasonCallerLeft {
 			text = fmt.Sprintf("The caller left after %v, with %d of %d tasks done.", end.durationField("age"), end.intField("done"), end.intField("tasks"))
 		}
-		return text + returnedTasks(events)
+		return text + crashedServers(events) + returnedTasks(events)
 	}
 	if end.durationField("age") <= end.durationField("objective") {
 		return "Completed in time." + returnedTasks(events)
@@ -164,6 +164,16 @@
 	return 0
 }
 
+// crashedServers names the servers that the job is to blame for, or returns an empty string.
+func crashedServers(events []Event) string {
+	for _, e := range events {
+		if e.Message == schedule.MessageGivenUp {
+			return " Of the agents' lines \"server crashed\", those of these servers name it: " + e.Fields["detail"] + "."
+		}
+	}
+	return ""
+}
+
 // returnedTasks says how many tasks servers returned and why, and how many tasks were moved off a server. It returns an
 // empty string if there are none.
 func returnedTasks(events []Event) string {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -16,6 +16,8 @@
 6.2 g2 level=info ts=2026-05-09T13:19:59Z msg="job ended" job=cc outcome=refused reason="no room in time" age=2ms objective=394ms tasks=3 servers=0
 6.3 g2 level=info ts=2026-05-09T13:19:59Z msg="job ended" job=dd outcome=lost reason="caller left" age=500ms tasks=3 done=1 servers=9
 6.4 g2 level=info ts=2026-05-09T13:19:59Z msg="job ended" job=ee outcome=completed reason=complete age=100ms objective=147ms tasks=1 done=1
+6.4 g2 level=info ts=2026-05-09T13:19:58.9Z msg="job given up, servers crashed under its task" job=gg detail="quotes crashed i-1, i-2"
+6.4 g2 level=info ts=2026-05-09T13:19:59Z msg="job ended" job=gg outcome=failed reason="servers crashed under its task" age=60ms tasks=2 done=0
 6.5 g2 level=info ts=2026-05-09T13:19:59Z msg="tasks placed" job=ff agent=a1 tasks=1 detail=aa
 not a line of the log about aa
 `
@@ -28,6 +30,7 @@
 		"cc": "Refused, not run: no server accepted work; check the links of the agents.",
 		"dd": "The caller left after 500ms, with 1 of 3 tasks done.",
 		"ee": "Completed in time.",
+		"gg": "Stopped after 0 of 2 tasks: servers crashed under its task. Of the agents' lines \"server crashed\", those of these servers name it: quotes crashed i-1, i-2.",
 		"ff": "The logs do not contain the end of the job: it still runs, its gateway was lost, or lines are missing.",
 	} {
 		events, err := Read(strings.NewReader(logs), job)
