Scheduler: neighbours of deadly tasks that had run for longer run again at once

Callers of healthy jobs of a queue in quarantine waited for an empty server until their deadline because their tasks had been beside a deadly one. What is learned from proven culprits now counts: a run that was much older at a crash than any that has crashed a server is not suspected while a younger one was there. Three such crashes count again, so that tasks that crash later are still found. The test fails on the code before.

--- a/internal/schedule/crashes.go
+++ b/internal/schedule/crashes.go
@@ -23,6 +23,9 @@
 	// decisiveAge is the factor by which the runs of one of several jobs must have been younger, at all their crashes, than
 	// those of the others. A task that crashes its server does so at about the same age each time.
 	decisiveAge = 2
+	// ageMargin is added to the ages of the runs that have crashed servers: a crash is found up to 3 ms later, and the agents
+	// may be busy.
+	ageMargin = 10 * time.Millisecond
 	// Two crashes decide if there is no other explanation, decisiveCrashes always do.
 	giveUpCrashes   = 2
 	decisiveCrashes = 3
@@ -58,6 +61,8 @@
 	byJob map[string]int
 	// guilty holds the jobs to blame, and when that was decided.
 	guilty map[string]time.Duration
+	// fatalAge is up to which age tasks have crashed servers so far, 0 if it is not known.
+	fatalAge time.Duration
 }
 
 func newCrashHistory() *crashHistory {
@@ -133,6 +138,9 @@
 			delete(h.guilty, jobID)
 		}
 	}
+	if len(h.guilty) == 0 {
+		h.fatalAge = 0
+	}
 }
 
 // jobs returns the jobs with runs in the crash, each once.
@@ -175,17 +183,42 @@
 	return !slices.ContainsFunc(c.group, func(other *crash) bool { return !other.has(jobID) })
 }
 
-// under returns the number of crashes that count against a task.
+// under returns the number of crashes that count against a task. Those that its run had survived for too long do not, until they
+// are too many: other tasks may crash servers later.
 func (h *crashHistory) under(ref taskRef) int {
-	count := 0
+	count, survived := 0, 0
 	for _, c := range h.byTask[ref] {
-		if c.counts(ref.job) {
+		switch {
+		case !c.counts(ref.job):
+		case h.tooOld(c, ref):
+			survived++
+		default:
 			count++
 		}
 	}
+	if count+survived >= decisiveCrashes {
+		return count + survived
+	}
 	return count
 }
 
+// tooOld reports whether the run of a task was older at a crash than any that has crashed a server, while another was not.
+func (h *crashHistory) tooOld(c *crash, ref taskRef) bool {
+	if h.fatalAge == 0 {
+		return false
+	}
+	old, younger := false, false
+	for i := range c.runs {
+		young := c.runs[i].Age <= h.fatalAge
+		if refOf(&c.runs[i]) == ref {
+			old = old || !young
+		} else {
+			younger = younger || young
+		}
+	}
+	return old && younger
+}
+
 // judged reports whether all crashes under a task were judged.
 func (h *crashHistory) judged(ref taskRef) bool {
 	return !slices.ContainsFunc(h.byTask[ref], func(c *crash) bool { return !c.judged })
@@ -283,6 +316,7 @@
 
 // blame records a job as the cause of the crashes that its tasks in a crash were in.
 func (h *crashHistory) blame(c *crash, jobID string) {
+	h.fatalAge = max(h.fatalAge, decisiveAge*h.oldestRun(jobID)+ageMargin)
 	for i := range c.runs {
 		if c.runs[i].Job != jobID {
 			continue
--- a/internal/schedule/quarantine_test.go
+++ b/internal/schedule/quarantine_test.go
@@ -234,3 +234,39 @@
 	}
 	require.Len(t, f.s.Quarantines(), 1)
 }
+
+// TestOldNeighboursRunAgainAtOnce guards against a healthy job of a queue in quarantine that waits for a server of its own because
+// it ran beside a deadly task: it had run for much longer than the tasks that crash servers.
+func TestOldNeighboursRunAgainAtOnce(t *testing.T) {
+	f := newSite(t, 8, nil)
+	f.quarantine(0)
+	lost := func(job string, age time.Duration) {
+		agents := f.submit(job, 0, "")
+		require.Len(t, agents, 1)
+		f.crashes++
+		f.s.HandleCrashReport(f.now, agents[0], &structs.CrashReport{Server: "s", StartTime: int64(f.crashes), Runs: []structs.CrashedRun{
+			{Job: job, Run: 1, Age: age}, {Job: "deadly-next", Run: 1, Age: 10 * time.Millisecond},
+		}})
+		f.s.HandlePlacementEvents(f.now, agents[0], &structs.PlacementEvents{Events: []structs.PlacementEvent{
+			{ID: placementOf(t, f.actions, job), Kind: structs.PlacementLost, Run: 1},
+		}})
+
+	}
+	lost("old", 200*time.Millisecond)
+	require.Len(t, placedAt(f.flush()), 1, "placed like a task that was in no crash")
+	lost("young", 12*time.Millisecond)
+	require.Empty(t, placedAt(f.flush()), "placed alone")
+}
+
+// placementOf returns the id of a job's placement.
+func placementOf(t *testing.T, actions []schedule.Action, job string) uint64 {
+	for _, action := range actions {
+		if send, ok := action.(schedule.Send); ok && send.Type == structs.TypePlace {
+			if place := send.Message.(*structs.Place); place.Job == job {
+				return place.Tasks[0].ID
+			}
+		}
+	}
+	require.Fail(t, "not placed", job)
+	return 0
+}
