Scheduler: a labelled step looks for a substitute server without sorting all servers

Read in the change: during a quarantine each server on the wrong side made the choice for a labelled step sort all servers by hash, which at 160 servers is 25,000 comparisons and as many hashes a candidate. The servers are kept in the order of their ids, which is the same at all gateways too. TestLabelledTasksKeepAServer passes before and after.

--- a/internal/schedule/quarantine.go
+++ b/internal/schedule/quarantine.go
@@ -376,7 +376,7 @@
 // nil.
 func (s *Scheduler) substituteFor(j *job, st *step, apart map[structs.AgentID]bool, quarantined bool) *server {
 	var substitute *server
-	for _, srv := range rankServers(s.sortedServers) {
+	for _, srv := range s.sortedServers {
 		if srv.report.Service != j.route.Service || !slices.Contains(srv.report.Labels, st.spec.Label) {
 			continue
 		}
