Gateway: ignore the state of a quarantine whose share is no number

Found by extending TestArbitraryMessagesDoNotPanic to the new messages: a share that is not a number made the next choice of servers to set apart panic, and agents would have sent the message to one gateway after the other: the fault of this issue, in our own processes.

--- a/internal/schedule/malformed_test.go
+++ b/internal/schedule/malformed_test.go
@@ -28,7 +28,7 @@
 		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "pause")) * time.Millisecond
 			id := rapid.SampledFrom(agents).Draw(t, "agent")
-			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			switch rapid.IntRange(0, 8).Draw(t, "what") {
 			case 0:
 				report := rapid.Make[structs.ServerReport]().Draw(t, "server report")
 				s.HandleServerReport(now, id, &report)
@@ -45,6 +45,21 @@
 				s.HandleServerHealth(now, id, &structs.ServerHealth{LogSlowness: rapid.SampledFrom([]float64{
 					math.NaN(), math.Inf(1), math.Inf(-1), 0, 1e300,
 				}).Draw(t, "slowness")})
+			case 4:
+				report := rapid.Make[structs.CrashReport]().Draw(t, "crash report")
+				report.Age = rapid.SampledFrom([]time.Duration{math.MinInt64, -1, 0, time.Second, math.MaxInt64}).Draw(t, "age")
+				for j := range report.Runs {
+					report.Runs[j].Job = string(rune('a' + rapid.IntRange(0, i).Draw(t, "job")))
+				}
+				s.HandleCrashReport(now, id, &report)
+			case 5:
+				s.HandleQuarantine(now, &structs.Quarantine{
+					Route: testRoute(0).Name, Service: "service", Active: rapid.Bool().Draw(t, "active"),
+					Version: rapid.Uint64().Draw(t, "version"), Servers: rapid.SliceOf(rapid.SampledFrom(agents)).Draw(t, "servers"),
+					Share:    rapid.SampledFrom([]float64{math.NaN(), math.Inf(1), math.Inf(-1), 0, 1e300}).Draw(t, "share"),
+					Age:      rapid.SampledFrom([]time.Duration{math.MinInt64, 0, time.Second, math.MaxInt64}).Draw(t, "age"),
+					Duration: rapid.SampledFrom([]time.Duration{math.MinInt64, 0, math.MaxInt64}).Draw(t, "duration"),
+				})
 			default:
 				job := testJob(string(rune('a'+i)), 2, structs.Resources{CPU: 1000, MemoryMB: 10})
 				s.Submit(now, schedule.Submission{Waiter: schedule.Waiter(i), Job: job, Route: testRoute(0), Timeout: time.Second})
--- a/internal/schedule/quarantine.go
+++ b/internal/schedule/quarantine.go
@@ -203,7 +203,7 @@
 func (s *Scheduler) HandleQuarantine(now time.Duration, in *structs.Quarantine) {
 	s.advance(now)
 	q := s.quarantines.byRoute[in.Route]
-	if q != nil && in.Version <= q.version {
+	if math.IsNaN(in.Share) || (q != nil && in.Version <= q.version) {
 		return
 	}
 	if q == nil {
--- a/internal/supervisor/malformed_test.go
+++ b/internal/supervisor/malformed_test.go
@@ -26,7 +26,7 @@
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "pause")) * time.Millisecond
 			g := rapid.SampledFrom(gateways).Draw(t, "gateway")
-			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
 			case 0:
 				server := rapid.Make[Server]().Draw(t, "server")
 				s.SetServer(now, server)
@@ -59,6 +59,13 @@
 				}
 			case 7:
 				s.GatewayUnlinked(now, g)
+			case 8:
+				place := rapid.Make[structs.PlaceAlone]().Draw(t, "place alone")
+				place.Place.Need = structs.Resources{CPU: place.Place.Need.CPU % 8000}
+				s.PlaceAlone(now, g, &place)
+			case 9:
+				quarantine := rapid.Make[structs.Quarantine]().Draw(t, "quarantine")
+				s.RelayQuarantine(now, &quarantine)
 			}
 			for _, action := range s.Flush(now) {
 				if start, ok := action.(CallStart); ok {
