Scheduler: count a crash once for a task with two runs on the server

Found by reading the change: a server that is stopping an earlier run of a task and runs a later one shows both at its crash, and the crash counted twice, so a healthy job could be given up and its queue set apart after a single crash.

--- a/internal/schedule/crashes.go
+++ b/internal/schedule/crashes.go
@@ -93,8 +93,10 @@
 		h.byJob[jobID]++
 	}
 	for i := range c.runs {
-		ref := refOf(&c.runs[i])
-		h.byTask[ref] = append(h.byTask[ref], c)
+		// A server may have two runs of a task if it is stopping one of them.
+		if ref := refOf(&c.runs[i]); !slices.Contains(h.byTask[ref], c) {
+			h.byTask[ref] = append(h.byTask[ref], c)
+		}
 	}
 	for _, other := range h.crashes {
 		if other.server != c.server && (c.at-other.at).Abs() <= simultaneous && !c.sharesTask(other) {
@@ -168,7 +170,7 @@
 
 // youngest returns the job whose run was started last.
 func (c *crash) youngest() string {
-	return slices.MinFunc(c.runs, func(a, b structs.CrashedRun) int { return int(a.Age - b.Age) }).Job
+	return slices.MinFunc(c.runs, func(a, b structs.CrashedRun) int { return cmp.Compare(a.Age, b.Age) }).Job
 }
 
 // alone reports whether only runs of one job were on the server.
