Scheduler: deadly tasks that crash servers in step are no loss of power

A crash now counts if the task had another within 200 ms, a crash that stayed ambiguous is judged again when another job is found, and of several proven jobs only that with the youngest runs is blamed; a job that is proven already is blamed only if nothing else explains a crash.

--- a/internal/schedule/crash_load_test.go
+++ b/internal/schedule/crash_load_test.go
@@ -56,6 +56,28 @@
 	}
 }
 
+// TestDeadlyTasksInStepAreTold guards against two deadly tasks that crash servers at the same moments and are therefore taken for
+// losses of power, or blamed for each other's crashes. A third crash may be needed if a neighbour was beside one of them twice.
+func TestDeadlyTasksInStepAreTold(t *testing.T) {
+	for i := range 12 {
+		deadly := map[string]bool{"deadly-a": true, "deadly-b": true}
+		w := newDeadlyWorkload(t, deadly)
+		w.mixed(500*time.Millisecond+time.Duration(37*i)*tick, 1)
+		w.work["deadly-a"], w.work["deadly-b"] = 60*time.Millisecond, 60*time.Millisecond
+		w.sim.call(w.sim.gateways[0], testJob("deadly-a", 4, w.need), testRoute(0))
+		w.sim.advance(time.Duration(i%3) * tick)
+		w.sim.call(w.sim.gateways[1], testJob("deadly-b", 4, w.need), testRoute(0))
+		w.mixed(2*time.Second, 1)
+		w.sim.advance(3 * time.Second)
+		for task, crashes := range w.sim.crashesUnder {
+			require.LessOrEqual(t, crashes, 3, "%s, run %d", task, i)
+		}
+		for id := range deadly {
+			require.NotEmpty(t, w.sim.answers[id], "%s, run %d", id, i)
+		}
+	}
+}
+
 // TestOtherQueuesOutlastDeadlyTasks guards against one queue that takes all servers down: a tenth of its jobs crashes
 // servers for 10 s.
 func TestOtherQueuesOutlastDeadlyTasks(t *testing.T) {
--- a/internal/schedule/crashes.go
+++ b/internal/schedule/crashes.go
@@ -16,6 +16,9 @@
 	// simultaneous is the longest time between the reports of crashes of servers that end for one reason, such as the loss of
 	// power of a rack. A refused connection shows a crash within 1 to 3 ms.
 	simultaneous = 3 * time.Millisecond
+	// promptly is the longest time between the crashes of servers under runs of one task that follow each other at once. Deadly
+	// tasks that arrive together crash servers in step, which is no loss of power.
+	promptly = 200 * time.Millisecond
 	// judgmentDelay is how long after a crash all simultaneous ones are known.
 	judgmentDelay = 8 * time.Millisecond
 	// maxCrashes bounds the crashes that are kept.
@@ -176,13 +179,17 @@
 // alone reports whether only runs of one job were on the server.
 func (c *crash) alone() bool { return len(c.jobs()) == 1 }
 
-// counts reports whether a crash counts against a job that had runs there. It does not if another job is to blame, or if
-// other servers without runs of the job crashed at the same moment: that points to a loss of power.
-func (c *crash) counts(jobID string) bool {
-	if c.culprit != "" && c.culprit != jobID {
+// counts reports whether a crash counts against a task that had a run there. It does not if another job is to blame, or if other
+// servers without runs of the job crashed at the same moment: that points to a loss of power, unless the task promptly had another
+// crash.
+func (h *crashHistory) counts(c *crash, ref taskRef) bool {
+	if c.culprit != "" && c.culprit != ref.job {
 		return false
 	}
-	return !slices.ContainsFunc(c.group, func(other *crash) bool { return !other.has(jobID) })
+	if !slices.ContainsFunc(c.group, func(other *crash) bool { return !other.has(ref.job) }) {
+		return true
+	}
+	return slices.ContainsFunc(h.byTask[ref], func(o *crash) bool { return o != c && (o.at-c.at).Abs() <= promptly })
 }
 
 // under returns the number of crashes that count against a task. Those that its run had survived for too long do not, until they
@@ -191,7 +198,7 @@
 	count, survived := 0, 0
 	for _, c := range h.byTask[ref] {
 		switch {
-		case !c.counts(ref.job):
+		case !h.counts(c, ref):
 		case h.tooOld(c, ref):
 			survived++
 		default:
@@ -227,23 +234,30 @@
 }
 
 // judge decides about the crashes that are old enough for all simultaneous ones to be known, and returns the jobs that are
-// found to blame.
+// found to blame. Each job that is found may leave only one explanation for other crashes, so these are judged again.
 func (h *crashHistory) judge(now time.Duration) []string {
 	var found []string
-	for _, c := range h.crashes {
-		if c.judged || !h.ripe(c, now) {
-			continue
-		}
-		c.judged = true
-		for _, jobID := range h.suspects(c) {
-			if _, known := h.guilty[jobID]; !known {
+	for again := false; ; again = true {
+		count := len(found)
+		for _, c := range h.crashes {
+			if c.culprit != "" || (c.judged && !again) || !h.ripe(c, now) {
+				continue
+			}
+			c.judged = true
+			jobID := h.suspect(c)
+			if jobID == "" {
+				continue
+			}
+			if !h.isGuilty(jobID) {
 				found = append(found, jobID)
+				h.guilty[jobID] = now
 			}
-			h.guilty[jobID] = now
 			h.blame(c, jobID)
 		}
+		if len(found) == count {
+			return found
+		}
 	}
-	return found
 }
 
 // ripe reports whether all crashes simultaneous with those under the runs of a crash are known.
@@ -263,10 +277,12 @@
 	return 0
 }
 
-// suspects returns the jobs that a crash proves to be at fault. The runs beside a task that crashes its server are usually in
-// no other crash: if just one job has a task with several crashes, or was once alone on a server, it is to blame. If there are
-// several, their tasks are started apart, and the next crash decides.
-func (h *crashHistory) suspects(c *crash) []string {
+// suspect returns the job that a crash proves to be at fault, or "" if several may be. The runs beside a task that crashes its
+// server are usually in no other crash: if just one job has a task with several crashes, it is to blame. Of several, it is one that
+// once was alone on a server or has very many crashes, the one with the youngest runs first, or else one whose runs were by far the
+// youngest. If there is none, their tasks are started apart, and the next crash decides. A job that other crashes have proved to be
+// at fault is blamed only if there is no other explanation: it may have healthy tasks.
+func (h *crashHistory) suspect(c *crash) string {
 	var repeated, proven []string
 	for _, jobID := range c.jobs() {
 		most, alone := 0, false
@@ -276,7 +292,7 @@
 			}
 			ref := refOf(&c.runs[i])
 			most = max(most, h.under(ref))
-			alone = alone || slices.ContainsFunc(h.byTask[ref], func(o *crash) bool { return o.alone() && o.counts(jobID) })
+			alone = alone || slices.ContainsFunc(h.byTask[ref], func(o *crash) bool { return o.alone() && h.counts(o, ref) })
 		}
 		if most >= giveUpCrashes {
 			repeated = append(repeated, jobID)
@@ -285,22 +301,23 @@
 			}
 		}
 	}
+	if others := slices.DeleteFunc(slices.Clone(repeated), h.isGuilty); len(others) > 0 {
+		repeated, proven = others, slices.DeleteFunc(proven, h.isGuilty)
+	}
+	byAge := func(a, b string) int { return cmp.Compare(h.oldestRun(a), h.oldestRun(b)) }
+	slices.SortFunc(repeated, byAge)
 	switch {
-	case len(repeated) == 1:
-		return repeated
-	case len(proven) == 0 && len(repeated) > 1:
-		return h.decisivelyYounger(repeated)
+	case len(proven) > 0:
+		return slices.MinFunc(proven, byAge)
+	case len(repeated) == 1, len(repeated) > 1 && decisiveAge*h.oldestRun(repeated[0]) <= h.oldestRun(repeated[1]):
+		return repeated[0]
 	}
-	return proven
+	return ""
 }
 
-// decisivelyYounger returns the one of several jobs whose runs were by far the youngest at the crashes of their tasks, or none.
-func (h *crashHistory) decisivelyYounger(jobs []string) []string {
-	slices.SortFunc(jobs, func(a, b string) int { return cmp.Compare(h.oldestRun(a), h.oldestRun(b)) })
-	if decisiveAge*h.oldestRun(jobs[0]) <= h.oldestRun(jobs[1]) {
-		return jobs[:1]
-	}
-	return nil
+func (h *crashHistory) isGuilty(jobID string) bool {
+	_, guilty := h.guilty[jobID]
+	return guilty
 }
 
 // oldestRun returns the highest age of a job's runs at the crashes under its tasks with several crashes.
@@ -308,7 +325,7 @@
 	oldest := time.Duration(0)
 	for _, c := range h.crashes {
 		for i := range c.runs {
-			if r := &c.runs[i]; r.Job == jobID && c.counts(jobID) && h.under(refOf(r)) >= giveUpCrashes {
+			if r := &c.runs[i]; r.Job == jobID && h.counts(c, refOf(r)) && h.under(refOf(r)) >= giveUpCrashes {
 				oldest = max(oldest, r.Age)
 			}
 		}
@@ -323,8 +340,9 @@
 		if c.runs[i].Job != jobID {
 			continue
 		}
-		for _, other := range h.byTask[refOf(&c.runs[i])] {
-			if other.counts(jobID) {
+		ref := refOf(&c.runs[i])
+		for _, other := range h.byTask[ref] {
+			if h.counts(other, ref) {
 				other.culprit = jobID
 			}
 		}
