Scheduler: a crash that another job explains counts as judged

Found in the last read of the change: a crash whose culprit was found before its own judgment was never marked as judged. Its gateway then asked to be woken each millisecond for a minute, and tasks with other crashes were held back as long. The test failed before (next wake within 2 ms), the tests of internal/schedule pass.

--- a/internal/schedule/crashes.go
+++ b/internal/schedule/crashes.go
@@ -240,10 +240,13 @@
 	for again := false; ; again = true {
 		count := len(found)
 		for _, c := range h.crashes {
-			if c.culprit != "" || (c.judged && !again) || !h.ripe(c, now) {
+			if (c.judged && !again) || !h.ripe(c, now) {
 				continue
 			}
 			c.judged = true
+			if c.culprit != "" {
+				continue
+			}
 			jobID := h.suspect(c)
 			if jobID == "" {
 				continue
--- a/internal/schedule/quarantine_test.go
+++ b/internal/schedule/quarantine_test.go
@@ -283,3 +283,17 @@
 	f.flush()
 	require.Nil(t, f.answerOf("j"))
 }
+
+// TestExplainedCrashNeedsNoJudgment guards against a gateway that wakes each millisecond, and tasks that are held back, for a crash
+// that another job already explains.
+func TestExplainedCrashNeedsNoJudgment(t *testing.T) {
+	f := newSite(t, 4, nil)
+	f.submit("j", 0, "")
+	f.crash("j")
+	f.now += 30 * time.Millisecond
+	f.crash("j")
+	f.now += 4 * time.Millisecond
+	f.crash("j")
+	f.advance(time.Second)
+	require.Greater(t, f.s.NextWake(), f.now+2*time.Millisecond)
+}
