--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 trouble=true
 if [ "${TROUBLE:-1}" = 0 ]; then trouble=false; fi
-exec target/review-driver --case kind --trouble=$trouble --programs target --record review/4/record.txt
+exec target/review-driver --case born --trouble=$trouble --programs target --record review/4/record.txt
--- a/review/driver/cases.go
+++ b/review/driver/cases.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -80,6 +81,35 @@
 	return nil
 }
 
+// caseResubmitted: a job reaches its deadline while the machine beside one of its minions is frozen, and is sent again to the same
+// front, where it waits for the end of the earlier runs. Meanwhile the client cancels it.
+func caseResubmitted(w *world, programs string, trouble bool) error {
+	s, err := newSite(w, programs, smallSite)
+	if s != nil {
+		defer s.close()
+	}
+	if err != nil {
+		return err
+	}
+	if err := s.awaitReady(15 * time.Second); err != nil {
+		return err
+	}
+	j := newJob([]jobStep{{Count: 600, CPU: 1000, MemMb: 64, EstimateMs: 900}}, taskSpec{Ms: 900, CPU: 1000})
+	c := s.submit("c1", j, 6*time.Second)
+	c.tries, c.anyFront = 2, true
+	c.start()
+	time.Sleep(4800 * time.Millisecond)
+	if trouble {
+		s.agents[0].signal(syscall.SIGSTOP)
+		time.AfterFunc(3500*time.Millisecond, func() { s.agents[0].signal(syscall.SIGCONT) })
+	}
+	time.Sleep(2600 * time.Millisecond)
+	s.cancel(c)
+	time.Sleep(6 * time.Second)
+	w.finalChecks()
+	return nil
+}
+
 // caseEvacuate: the platform's store is out of reach for the fronts, not for the machines beside the minions. Meanwhile the
 // operator evacuates a zone.
 func caseEvacuate(w *world, programs string, trouble bool) error {
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -22,7 +22,7 @@
 	record := flag.String("record", "record.txt", "the file to write what was sent, answered and run")
 	seed := flag.Uint64("seed", 1, "seed of the case fuzz")
 	length := flag.Duration("length", 30*time.Second, "length of the case fuzz")
-	firstBeat = flag.Duration("first-beat", 100*time.Millisecond, "when the first heartbeat of a new life leaves, in the case kind")
+	firstBeat = flag.Duration("first-beat", 50*time.Millisecond, "when the first heartbeat of a new life leaves, in the case kind")
 	keep = flag.Bool("keep", false, "keep the logs of the processes")
 	trouble := flag.Bool("trouble", true, "play the disturbance")
 	flag.Parse()
@@ -55,6 +55,8 @@
 		err = caseKind(w, programs, trouble, *firstBeat)
 	case "cancel":
 		err = caseCancel(w, programs, trouble)
+	case "resubmitted":
+		err = caseResubmitted(w, programs, trouble)
 	case "evacuate":
 		err = caseEvacuate(w, programs, trouble)
 	case "born":
--- a/review/driver/site.go
+++ b/review/driver/site.go
@@ -46,29 +46,43 @@
 	firstBeat func(i int) time.Duration
 }
 
-// freeNetwork returns the second byte of a loopback network in which nothing listens at the site's ports.
-func freeNetwork() int {
-	for range 200 {
+// networkLock keeps the network of this process's site from being taken by another process.
+var networkLock net.Listener
+
+// takeNetwork returns the second byte of a loopback network that no other site uses. The site holds networkLock in it until the
+// program ends.
+func takeNetwork() (int, error) {
+	for range 500 {
 		n := 20 + rand.IntN(200)
+		lock, err := net.Listen("tcp", at(fmt.Sprintf("127.%d.0.1", n), portFront))
+		if err != nil {
+			continue
+		}
+		networkLock = lock
 		free := true
-		for _, port := range []int{portFront, portReady, portControl, portLink, portMinion} {
-			l, err := net.Listen("tcp", at(fmt.Sprintf("127.%d.1.1", n), port))
-			if err != nil {
-				free = false
-				break
+		for _, ip := range []string{"1.1", "1.2", "1.3", "2.1", "2.2"} {
+			for _, port := range []int{portFront, portReady, portControl, portLink, portMinion, portMetrics} {
+				l, err := net.Listen("tcp", at(fmt.Sprintf("127.%d.%s", n, ip), port))
+				if err != nil {
+					free = false
+					break
+				}
+				_ = l.Close()
 			}
-			_ = l.Close()
 		}
 		if free {
-			return n
+			return n, nil
 		}
 	}
-	return 19
+	return 0, errors.New("no free loopback network")
 }
 
 func newSite(w *world, programs string, o siteOptions) (*site, error) {
 	s := &site{world: w, store: newStore()}
-	network := freeNetwork()
+	network, err := takeNetwork()
+	if err != nil {
+		return nil, err
+	}
 	seeds := []string{}
 	for i := range o.fronts {
 		seeds = append(seeds, at(fmt.Sprintf("127.%d.1.%d", network, i+1), portControl))
@@ -195,8 +209,10 @@
 	// cut closes the channel of the attempt in progress.
 	mu   sync.Mutex
 	conn net.Conn
-	at   *process
-	done chan struct{}
+	// cancelled is set once the client cancels the job: it doesn't send it again.
+	cancelled bool
+	at        *process
+	done      chan struct{}
 }
 
 var jobNumber struct {
@@ -239,6 +255,12 @@
 	}
 }
 
+func (c *client) stopResending() {
+	c.mu.Lock()
+	c.cancelled = true
+	c.mu.Unlock()
+}
+
 // run sends the job until it is answered, as PROTOCOL.md tells clients to do.
 func (c *client) run() {
 	defer close(c.done)
@@ -278,6 +300,12 @@
 			return
 		}
 		time.Sleep(1300 * time.Millisecond)
+		c.mu.Lock()
+		cancelled := c.cancelled
+		c.mu.Unlock()
+		if cancelled {
+			return
+		}
 	}
 }
 
