--- a/review/driver/fuzz.go
+++ b/review/driver/fuzz.go
@@ -117,7 +117,7 @@
 	front, agent, m := s.fronts[r.IntN(len(s.fronts))], s.agents[r.IntN(len(s.agents))], s.minions[r.IntN(len(s.minions))]
 	length := 300*time.Millisecond + time.Duration(r.IntN(3200))*time.Millisecond
 	later := func(f func()) { time.AfterFunc(length, f) }
-	switch n := r.IntN(22); n {
+	switch n := r.IntN(28); n {
 	case 0, 1:
 		p := front
 		if n == 1 {
@@ -203,6 +203,12 @@
 		}
 		m.crash("crashes for a moment")
 		time.AfterFunc(time.Duration(5+r.IntN(150))*time.Millisecond, func() { _ = m.start() })
+	case 22, 23, 24, 25, 26, 27:
+		for i, p := range []*process{front, agent} {
+			if i == n%2 || n > 25 {
+				go p.slow(length + 2*time.Second)
+			}
+		}
 	case 19:
 		m.setFaults(func(f *minionFaults) { f.muteBeats = true })
 		later(func() { m.setFaults(func(f *minionFaults) { f.muteBeats = false }) })
--- a/review/driver/world.go
+++ b/review/driver/world.go
@@ -356,6 +356,25 @@
 	}
 }
 
+// slow makes the process run at some fifth of its speed for a time, by stopping and continuing it.
+func (p *process) slow(length time.Duration) {
+	p.world.log("process %s turns slow for %v", p.name, length)
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		p.quietSignal(syscall.SIGSTOP)
+		time.Sleep(45 * time.Millisecond)
+		p.quietSignal(syscall.SIGCONT)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (p *process) quietSignal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
 // stop stops the process as the platform does.
 func (p *process) stop() {
 	p.signal(syscall.SIGTERM)
