--- a/review/driver/site.go
+++ b/review/driver/site.go
@@ -179,7 +179,8 @@
 	}
 }
 
-// pick selects the front for a new channel of a client, as the platform does.
+// pick selects the front for a new channel of a client, as the platform does: that of the client's zone, which the hash of the client
+// stands for here, since each zone has one front. A retry leaves out the front of the attempt before.
 func (s *site) pick(client string, not *process) *process {
 	var usable []*process
 	for _, p := range s.fronts {
