--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -46,7 +46,10 @@
 	signal.Notify(interrupts, os.Interrupt, syscall.SIGTERM)
 	go func() {
 		<-interrupts
-		os.Exit(2) // the processes end with this one
+		if !*keep {
+			_ = os.RemoveAll(w.dir)
+		}
+		os.Exit(2) // the processes end with this one: the kernel kills them
 	}()
 	switch scenario {
 	case "fuzz":
