--- a/internal/platformagent/agent.go
+++ b/internal/platformagent/agent.go
@@ -61,14 +61,19 @@
 
 type agentMetrics struct {
 	starts, done, failed, lost, refused, crashes tally.Counter
-	runTime                                      tally.Histogram
+	zoneReads, zoneReadFailures                  tally.Counter
+	// zoneStateAge is the age of the knowledge of the zones out of service, in seconds.
+	zoneStateAge tally.Gauge
+	runTime      tally.Histogram
 }
 
 func newMetrics(scope tally.Scope) agentMetrics {
 	return agentMetrics{
 		starts: scope.Counter("starts"), done: scope.Counter("runs_done"), failed: scope.Counter("runs_failed"),
 		lost: scope.Counter("runs_lost"), refused: scope.Counter("placements_refused"), crashes: scope.Counter("server_crashes"),
-		runTime: scope.Histogram("run_seconds", tally.MustMakeExponentialDurationBuckets(4*time.Millisecond, 2, 12)),
+		zoneReads: scope.Counter("zone_reads"), zoneReadFailures: scope.Counter("zone_read_failures"),
+		zoneStateAge: scope.Gauge("zone_state_age_seconds"),
+		runTime:      scope.Histogram("run_seconds", tally.MustMakeExponentialDurationBuckets(4*time.Millisecond, 2, 12)),
 	}
 }
 
@@ -139,6 +144,9 @@
 			a.send(action)
 		case supervisor.CloseLink:
 			a.links.closeLink(action.Gateway)
+		case supervisor.ReadZones:
+			a.metrics.zoneReads.Inc(1)
+			go a.readZones(now)
 		case supervisor.LogEntry:
 			a.writeLog(action)
 		}
@@ -149,6 +157,7 @@
 	if a.supervisor.HasUnansweredCalls() {
 		a.backend.cutListShort()
 	}
+	a.metrics.zoneStateAge.Update(a.supervisor.ZoneStateAge(now).Seconds())
 	if a.draining && a.supervisor.Idle() {
 		a.draining = false
 		close(a.drained)
@@ -199,12 +208,20 @@
 		return
 	}
 	a.stateRevision = state.Revision
-	zoneOut := false
-	for _, zone := range state.ZonesOut {
-		zoneOut = zoneOut || zone == a.options.Settings.Zone
+	_ = level.Info(a.logger).Log("msg", "operator state received", "revision", state.Revision, "zones_out", len(state.ZonesOut))
+	a.supervisor.SetZonesOut(now, state.ZonesOut, state.Revision)
+}
+
+// readZones reads the zones out of service from the store. now is when the supervisor has requested it.
+func (a *Agent) readZones(now time.Duration) {
+	zones, revision, err := platform.ReadZonesOut(context.Background(), a.links.store)
+	if err != nil {
+		a.metrics.zoneReadFailures.Inc(1)
+		_ = level.Info(a.logger).Log("msg", "reading the zone state failed", "err", err)
+		a.loop.Post(a.supervisor.ZoneReadFailed)
+		return
 	}
-	_ = level.Info(a.logger).Log("msg", "operator state received", "revision", state.Revision, "zone_out", zoneOut)
-	a.supervisor.SetZoneOut(now, zoneOut, state.Revision)
+	a.loop.Post(func(at time.Duration) { a.supervisor.ZonesRead(at, zones, revision, now) })
 }
 
 // serveHeartbeats serves the HTTP endpoint to which the backend server sends its heartbeats.
--- a/internal/platformagent/links.go
+++ b/internal/platformagent/links.go
@@ -208,6 +208,8 @@
 		return &structs.PlaceAlone{}
 	case structs.TypeRackDemand:
 		return &structs.RackDemand{}
+	case structs.TypeZonesOut:
+		return &structs.ZonesOut{}
 	case structs.TypeHeartbeat:
 		return &structs.Heartbeat{}
 	default:
@@ -238,6 +240,8 @@
 		a.supervisor.RelayQuarantine(now, m)
 	case *structs.RackDemand:
 		a.supervisor.HandleRackDemand(now, c.gateway, m)
+	case *structs.ZonesOut:
+		a.supervisor.HandleZoneState(now, m)
 	case *structs.OperatorState:
 		c.stateExchange.Received(m.Revision)
 		c.gatewayRevision = max(c.gatewayRevision, m.Revision)
--- a/internal/platformgateway/agents.go
+++ b/internal/platformgateway/agents.go
@@ -70,6 +70,8 @@
 		return &structs.Quarantine{}
 	case structs.TypeFeatures:
 		return &structs.Features{}
+	case structs.TypeZonesOut:
+		return &structs.ZonesOut{}
 	case structs.TypeRackDemandTotal:
 		return &structs.RackDemandTotal{}
 	case structs.TypePlacementEvents:
@@ -113,6 +115,8 @@
 		g.scheduler.HandleRackDemandTotal(now, c.agent.ID, m)
 	case *structs.PlacementEvents:
 		g.scheduler.HandlePlacementEvents(now, c.agent.ID, m)
+	case *structs.ZonesOut:
+		g.scheduler.HandleZoneState(now, c.agent.ID, m)
 	case *structs.OperatorState:
 		c.stateExchange.Received(m.Revision)
 		g.operator.applyState(now, m, "agent "+string(c.agent.ID))
--- a/internal/platformgateway/operator.go
+++ b/internal/platformgateway/operator.go
@@ -64,6 +64,7 @@
 func (o *operatorWatcher) run(ctx context.Context) error {
 	pause, unavailable := retryDelay, false
 	for ctx.Err() == nil {
+		requestedAt := o.gateway.loop.Now()
 		v, err := o.read(ctx)
 		if err == nil {
 			if unavailable {
@@ -71,6 +72,7 @@
 			}
 			pause, unavailable = retryDelay, false
 			o.publish(v)
+			o.confirm(v, requestedAt)
 			err = o.follow(ctx, v)
 		}
 		if ctx.Err() != nil {
@@ -111,6 +113,7 @@
 // follow applies changes until a call fails.
 func (o *operatorWatcher) follow(ctx context.Context, v *operatorView) error {
 	for {
+		requestedAt := o.gateway.loop.Now()
 		events, revision, err := o.gateway.store.Watch(ctx, platform.OperatorPrefix, v.revision, watchTimeout)
 		if store.IsKind(err, store.KindCompacted) {
 			_ = level.Info(o.gateway.logger).Log("msg", "store has compacted changes, reading the operators' keys again")
@@ -124,10 +127,20 @@
 		v.revision = max(v.revision, revision)
 		if len(events) > 0 {
 			o.publish(v)
+			o.confirm(v, requestedAt)
+			continue
 		}
+		// Nothing has changed until the wait ended, even if the answer was late.
+		o.confirm(v, min(requestedAt+watchTimeout, o.gateway.loop.Now()))
 	}
 }
 
+// confirm passes the zones of the view to the scheduler as those that the store had at the time asOf.
+func (o *operatorWatcher) confirm(v *operatorView, asOf time.Duration) {
+	zones, revision := slices.Sorted(maps.Keys(v.zonesOut)), v.revision
+	o.gateway.loop.Post(func(now time.Duration) { o.gateway.scheduler.ConfirmZones(now, zones, revision, asOf) })
+}
+
 // publish passes the view to the event loop.
 func (o *operatorWatcher) publish(v *operatorView) {
 	state := &structs.OperatorState{
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rosedrift.example/rosedrift/internal/structs"
+	"rosedrift.example/rosedrift/internal/zonestate"
 )
 
 // Flush advances the clock to now, places the tasks that can be placed, and returns the actions since the last call.
@@ -21,6 +22,7 @@
 	s.sendStops()
 	s.sendPlaces()
 	s.sendHeartbeats()
+	s.sendUrgentZoneState()
 	actions := s.actions
 	s.actions = nil
 	return actions
@@ -34,6 +36,7 @@
 		}
 		message := &structs.Resume{Gateway: s.options.Self, GatewayAddresses: s.gatewayAddresses, Revision: s.revision}
 		srv.sentAddressVersion = s.addressVersion
+		srv.sentZoneVersion, srv.sentZonesAsOf = 0, zonestate.Unconfirmed
 		for _, t := range sortedTasks(srv) {
 			message.Tasks = append(message.Tasks, structs.ResumedTask{
 				ID: t.id, Job: t.job.spec.ID, Step: t.step, Index: t.index, Run: t.nextRun,
@@ -87,7 +90,7 @@
 
 // usable reports whether a server accepts any tasks.
 func (s *Scheduler) usable(srv *server) bool {
-	return srv.linked && srv.report.Open && !s.zonesOut[srv.report.Zone]
+	return srv.linked && srv.report.Open && !s.zones.IsOut(srv.report.Zone)
 }
 
 // admits reports whether a server may get a task of a step now. It is the filter before candidates are ranked.
@@ -548,6 +551,7 @@
 			p.Message = &structs.PlaceAlone{Place: *m}
 		}
 		s.actions = append(s.actions, p)
+		s.sendZoneState(srv)
 		s.log(LogEntry{
 			Message: MessagePlaced, Job: m.Job, Agent: p.Agent, Server: srv.report.Server, Tasks: len(m.Tasks),
 			ExpectedRunTime: m.ExpectedRunTime, FreeCPU: srv.freeResourcesFor(m.Priority).CPU, Age: m.Age,
@@ -597,6 +601,7 @@
 func (s *Scheduler) send(srv *server, typ structs.MessageType, message any) {
 	srv.sentAt = s.now
 	s.actions = append(s.actions, Send{Agent: srv.id, Type: typ, Message: message})
+	s.sendZoneState(srv)
 }
 
 // NextWake returns when Flush must be called next if no input comes before.
--- a/internal/schedule/preview.go
+++ b/internal/schedule/preview.go
@@ -290,7 +290,7 @@
 		return ExcludedUnlinked, "for " + (s.now - srv.unlinkedAt).Round(time.Millisecond).String()
 	case r.Service != j.route.Service:
 		return ExcludedService, r.Service
-	case s.zonesOut[r.Zone]:
+	case s.zones.IsOut(r.Zone):
 		return ExcludedZoneOut, r.Zone
 	case !s.usable(srv):
 		return ExcludedClosed, r.Reason
--- a/internal/schedule/preview_test.go
+++ b/internal/schedule/preview_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"rosedrift.example/rosedrift/internal/structs"
+	"rosedrift.example/rosedrift/internal/zonestate"
 )
 
 // previewSite drives schedulers with the same inputs and compares their actions.
@@ -233,9 +234,10 @@
 	}
 	require.Equal(t, []string{
 		"servers", "sortedServers", "serversByZone", "serversByLabel", "rackWaits", "rackAhead", "rackSample", "offRack", "changed", "resumes", "unlinked", "sample", "models", "jobs", "queue", "tasks",
-		"zonesOut", "gatewayAddresses", "actions", "placements", "stops", "crashes", "quarantines", "demand",
+		"gatewayAddresses", "actions", "placements", "stops", "crashes", "quarantines", "demand",
 	}, references(reflect.TypeFor[Scheduler]()))
 	require.Equal(t, []string{"unacknowledged", "tasks", "fullUntil"}, references(reflect.TypeFor[server]()))
+	require.Equal(t, []string{"out"}, references(reflect.TypeFor[zonestate.View]()), "Apply replaces it and changes no element")
 }
 
 // TestExclusionReasons guards against a preview that gives operators a wrong reason for a server without tasks.
--- a/internal/schedule/quarantine.go
+++ b/internal/schedule/quarantine.go
@@ -319,7 +319,7 @@
 // members returns the servers of a service of which some can be set apart, in the order of rankServers.
 func (s *Scheduler) members(service string) []*server {
 	return slices.DeleteFunc(rankServers(s.sortedServers), func(srv *server) bool {
-		return srv.report.Service != service || s.zonesOut[srv.report.Zone] || (!srv.linked && s.now-srv.unlinkedAt >= unlinkedMember)
+		return srv.report.Service != service || s.zones.IsOut(srv.report.Zone) || (!srv.linked && s.now-srv.unlinkedAt >= unlinkedMember)
 	})
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -10,6 +9,7 @@
 
 	"rosedrift.example/rosedrift/internal/rackdemand"
 	"rosedrift.example/rosedrift/internal/structs"
+	"rosedrift.example/rosedrift/internal/zonestate"
 )
 
 type taskState uint8
@@ -138,6 +138,9 @@
 	fullUntil map[int]time.Duration
 	// sentAddressVersion is the version of the gateway addresses that was last sent on this link.
 	sentAddressVersion uint64
+	// sentZoneVersion and sentZonesAsOf describe the zone state that was last sent on this link.
+	sentZoneVersion uint64
+	sentZonesAsOf   time.Duration
 }
 
 // unacknowledgedPlacement holds the resources of a placed task that the agent's resource report does not include yet.
@@ -188,7 +191,7 @@
 	queue            []*job // jobs with pending tasks, by priority and arrival
 	tasks            map[uint64]*task
 	nextID           uint64
-	zonesOut         map[string]bool
+	zones            zonestate.View
 	gatewayAddresses []string
 	// addressVersion counts the changes of gatewayAddresses. Addresses are sent only after a change: with 100
 	// gateways, a list in each heartbeat amounted to 875 kB/s at an agent, and it would grow with the square of the
@@ -196,7 +199,10 @@
 	addressVersion     uint64
 	addressesChangedAt time.Duration
 	revision           uint64
-	actions            []Action
+	// zoneVersion counts the changes of the zones. zonesUrgent is set if all agents must get the zones at once.
+	zoneVersion uint64
+	zonesUrgent bool
+	actions     []Action
 	// placements collects the Place messages of a Flush, so that tasks of one step for one agent share a message.
 	placements  []Send
 	stops       map[*server][]uint64
@@ -214,7 +220,7 @@
 	return &Scheduler{
 		options: options, now: now, startedAt: now, locality: weighWaits,
 		servers: map[structs.AgentID]*server{}, serversByZone: map[string][]*server{}, models: map[string]*runTimeModel{}, jobs: map[string]*job{},
-		tasks: map[uint64]*task{}, zonesOut: map[string]bool{}, stops: map[*server][]uint64{},
+		tasks: map[uint64]*task{}, zones: zonestate.NewView(), stops: map[*server][]uint64{},
 		serversByLabel: map[string][]*server{}, rackWaits: map[string]*rackWaits{}, rackAhead: map[string]int64{},
 		crashes: newCrashHistory(), quarantines: newQuarantines(), demand: rackdemand.NewGateway(),
 	}
@@ -270,24 +276,6 @@
 	return count
 }
 
-// SetZonesOut sets the availability zones in which no task may start, as of an operator state revision.
-func (s *Scheduler) SetZonesOut(now time.Duration, zones []string, revision uint64) {
-	s.advance(now)
-	s.revision = revision
-	before := s.zonesOut
-	s.zonesOut = map[string]bool{}
-	for _, zone := range zones {
-		s.zonesOut[zone] = true
-	}
-	if !maps.Equal(before, s.zonesOut) {
-		s.resetContention()
-	}
-	s.usabilityChanged = true
-	for _, srv := range s.sortedServers {
-		s.markChanged(srv)
-	}
-}
-
 // SetGatewayAddresses sets the link addresses of the live gateways. The scheduler sends them to the agents.
 func (s *Scheduler) SetGatewayAddresses(addresses []string) {
 	if slices.Equal(s.gatewayAddresses, addresses) {
--- a/internal/structs/placement_messages.go
+++ b/internal/structs/placement_messages.go
@@ -30,6 +30,8 @@
 	TypeRackDemand
 	// From agent to gateway. Gateways that do not know the type ignore it.
 	TypeRackDemandTotal
+	// In both directions. Processes that do not know the type ignore it.
+	TypeZonesOut
 )
 
 // Times and limits that gateways and agents share.
@@ -252,6 +254,18 @@
 	ZonesOut []string
 }
 
+// ZonesOut says which availability zones the operators have taken out of service, and how old this knowledge is. Gateways
+// send it about once a second while they have contact with the store, agents after they have read the zones from the store.
+type ZonesOut struct {
+	_ struct{} `cbor:",toarray"`
+	// Revision is the revision of the store up to which the state is known.
+	Revision uint64
+	// Zones lists the availability zones in which no task may start, in ascending order.
+	Zones []string
+	// Age is the time since the store had no newer state.
+	Age time.Duration
+}
+
 // Heartbeat is sent on a link when there is nothing else to send.
 type Heartbeat struct {
 	_        struct{} `cbor:",toarray"`
--- a/internal/structs/placement_messages_test.go
+++ b/internal/structs/placement_messages_test.go
@@ -40,6 +40,22 @@
 	})
 }
 
+// TestZonesOutOnTheWire guards against a number of the type that collides with those of earlier versions, and against an agent that
+// learns the zones, but not their age.
+func TestZonesOutOnTheWire(t *testing.T) {
+	require.EqualValues(t, 55, TypeZonesOut)
+	rapid.Check(t, func(t *rapid.T) {
+		sent := rapid.Make[ZonesOut]().Draw(t, "zones")
+		raw, err := cbor.Marshal(&sent)
+		require.NoError(t, err)
+		var received ZonesOut
+		require.NoError(t, cbor.Unmarshal(raw, &received))
+		require.Equal(t, sent.Revision, received.Revision)
+		require.ElementsMatch(t, sent.Zones, received.Zones)
+		require.Equal(t, sent.Age, received.Age)
+	})
+}
+
 // FuzzRackDemand guards against input that crashes the receiver, and against a decoded message that is encoded as another one.
 // It compares the encoded forms, since a demand may not be a number.
 func FuzzRackDemand(f *testing.F) {
--- a/internal/supervisor/api.go
+++ b/internal/supervisor/api.go
@@ -108,6 +108,9 @@
 	Message any
 }
 
+// ReadZones asks the I/O layer to read the zones out of service from the store, and to pass them to ZonesRead.
+type ReadZones struct{}
+
 // CloseLink asks the I/O layer to close the link with a gateway. Messages that arrived on the link and have not been
 // handled must be discarded.
 type CloseLink struct{ Gateway structs.GatewayRef }
@@ -128,6 +131,7 @@
 func (CallStart) action() {}
 func (CallStop) action()  {}
 func (Send) action()      {}
+func (ReadZones) action() {}
 func (CloseLink) action() {}
 func (LogEntry) action()  {}
 
--- a/internal/supervisor/flush.go
+++ b/internal/supervisor/flush.go
@@ -29,6 +29,7 @@
 			g.reportDue = true
 		}
 	}
+	s.readZones()
 	s.sendMessages()
 	s.sendRackDemand()
 	actions := s.actions
@@ -264,6 +265,10 @@
 		s.send(g, structs.TypeFeatures, &structs.Features{PlaceAlone: true})
 	}
 	s.sendNotices(g)
+	if g.zonesDue {
+		g.zonesDue = false
+		s.send(g, structs.TypeZonesOut, s.zoneState())
+	}
 	if g.serverReportDue {
 		g.serverReportDue, g.reportDue = false, true
 		report := s.ServerReport()
@@ -364,6 +369,7 @@
 		}
 	}
 	sooner(s.nextRunWake(wake))
+	sooner(s.zoneReader.NextRead(&s.zones))
 	if b := &s.suspension; b.reason != "" && b.probe == nil && s.linkedGateways() > 0 {
 		sooner(max(b.until, b.probeUntil))
 	}
--- a/internal/supervisor/gateways.go
+++ b/internal/supervisor/gateways.go
@@ -39,8 +39,9 @@
 	// pendingResume and pendingStops keep the gateway's first message and its stops until the runs are reconciled.
 	pendingResume *structs.Resume
 	pendingStops  []uint64
-	// featuresDue is set until the features are sent on the link.
+	// featuresDue is set until the features are sent on the link, zonesDue until the zone state is.
 	featuresDue bool
+	zonesDue    bool
 	// lastNotice is the number of the last notice that was sent on the link.
 	lastNotice uint64
 }
@@ -57,7 +58,7 @@
 	}
 	g.timedOut = false
 	g.linked, g.lastContact, g.serverReportDue, g.events, g.pendingResume, g.pendingStops = true, s.now, true, nil, in, nil
-	g.sentSlowness, g.lastNotice, g.featuresDue = 0, 0, true
+	g.sentSlowness, g.lastNotice, g.featuresDue, g.zonesDue = 0, 0, true, s.zones.Known()
 	if s.reconciled {
 		s.reconcileTasks(g)
 	}
--- a/internal/supervisor/malformed_test.go
+++ b/internal/supervisor/malformed_test.go
@@ -26,7 +26,7 @@
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "pause")) * time.Millisecond
 			g := rapid.SampledFrom(gateways).Draw(t, "gateway")
-			switch rapid.IntRange(0, 10).Draw(t, "what") {
+			switch rapid.IntRange(0, 11).Draw(t, "what") {
 			case 0:
 				server := rapid.Make[Server]().Draw(t, "server")
 				s.SetServer(now, server)
@@ -70,6 +70,9 @@
 				demand := rapid.Make[structs.RackDemand]().Draw(t, "rack demand")
 				demand.Rack = rapid.SampledFrom([]string{"rack", demand.Rack}).Draw(t, "rack")
 				s.HandleRackDemand(now, g, &demand)
+			case 11:
+				zones := rapid.Make[structs.ZonesOut]().Draw(t, "zones")
+				s.HandleZoneState(now, &zones)
 			}
 			for _, action := range s.Flush(now) {
 				if start, ok := action.(CallStart); ok {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -8,6 +8,7 @@
 
 	"rosedrift.example/rosedrift/internal/rackdemand"
 	"rosedrift.example/rosedrift/internal/structs"
+	"rosedrift.example/rosedrift/internal/zonestate"
 )
 
 type state uint8
@@ -82,8 +83,10 @@
 	// startTimeKnownAt is when the server's start time became known. A list requested after that comes from the
 	// current incarnation, even if its start time is lower because the server's clock was set back.
 	startTimeKnownAt time.Duration
-	// While zoneOut or shuttingDown is set, no task is accepted.
-	zoneOut      bool
+	// zones is the newest state of the availability zones, zoneReader decides when it is read from the store. While the
+	// agent's zone is out or shuttingDown is set, no task is accepted.
+	zones        zonestate.View
+	zoneReader   zonestate.Reader
 	shuttingDown bool
 	// unresponsive is set while the server does not answer. leaseEnd is when the leases of all runs have certainly
 	// expired, by the agent's clock.
@@ -150,6 +153,8 @@
 		unclaimedEnds: map[RunRef]unclaimedEnd{}, quarantineVersions: map[string]uint64{},
 		suspension:    suspension{failedJobs: map[string]bool{}},
 		demand:        rackdemand.NewAgent(),
+		zones:         zonestate.NewView(),
+		zoneReader:    zonestate.NewReader(now, string(options.Self.ID)),
 		token:         options.Token,
 		claimDeadline: now + ClaimTimeout,
 		// An earlier agent may have renewed the lease just before this one was started.
@@ -175,7 +180,7 @@
 		return "starting"
 	case s.server.Draining:
 		return "draining"
-	case s.zoneOut:
+	case s.zones.IsOut(s.options.Zone):
 		return "zone out"
 	case s.unresponsive:
 		return "server silent"
@@ -277,17 +282,6 @@
 	return runs
 }
 
-// SetZoneOut handles an operator state: out says whether the operators have taken the agent's zone out of service.
-func (s *Supervisor) SetZoneOut(now time.Duration, out bool, revision uint64) {
-	s.advance(now)
-	s.revision = revision
-	if s.zoneOut != out {
-		s.zoneOut = out
-		s.log(LogEntry{Message: "zone state", Detail: "out=" + strconv.FormatBool(out)})
-		s.announceServer()
-	}
-}
-
 // BeginShutdown begins the graceful shutdown: no task is started any more, and running tasks may end.
 func (s *Supervisor) BeginShutdown(now time.Duration) {
 	s.advance(now)
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -22,6 +22,8 @@
 	reports     []*structs.ServerReport
 	crashes     []*structs.CrashReport
 	quarantines []*structs.Quarantine
+	zoneStates  []*structs.ZonesOut
+	reads       int
 	closedLinks int
 	seq         uint64
 }
@@ -46,6 +48,8 @@
 			h.starts = append(h.starts, action.RunRef)
 		case CallStop:
 			h.stops = append(h.stops, action.RunRef)
+		case ReadZones:
+			h.reads++
 		case CloseLink:
 			h.closedLinks++
 		case Send:
@@ -58,6 +62,8 @@
 				h.crashes = append(h.crashes, m)
 			case *structs.Quarantine:
 				h.quarantines = append(h.quarantines, m)
+			case *structs.ZonesOut:
+				h.zoneStates = append(h.zoneStates, m)
 			}
 		}
 	}
