--- a/internal/platformagent/agent.go
+++ b/internal/platformagent/agent.go
@@ -62,6 +62,7 @@
 type agentMetrics struct {
 	starts, done, failed, lost, refused, crashes tally.Counter
 	zoneReads, zoneReadFailures                  tally.Counter
+	unconfirmedHeartbeats                        tally.Counter
 	// zoneStateAge is the age of the knowledge of the zones out of service, in seconds.
 	zoneStateAge tally.Gauge
 	runTime      tally.Histogram
@@ -72,8 +73,9 @@
 		starts: scope.Counter("starts"), done: scope.Counter("runs_done"), failed: scope.Counter("runs_failed"),
 		lost: scope.Counter("runs_lost"), refused: scope.Counter("placements_refused"), crashes: scope.Counter("server_crashes"),
 		zoneReads: scope.Counter("zone_reads"), zoneReadFailures: scope.Counter("zone_read_failures"),
-		zoneStateAge: scope.Gauge("zone_state_age_seconds"),
-		runTime:      scope.Histogram("run_seconds", tally.MustMakeExponentialDurationBuckets(4*time.Millisecond, 2, 12)),
+		unconfirmedHeartbeats: scope.Counter("unconfirmed_heartbeats"),
+		zoneStateAge:          scope.Gauge("zone_state_age_seconds"),
+		runTime:               scope.Histogram("run_seconds", tally.MustMakeExponentialDurationBuckets(4*time.Millisecond, 2, 12)),
 	}
 }
 
--- a/internal/platformagent/agent_test.go
+++ b/internal/platformagent/agent_test.go
@@ -128,6 +128,8 @@
 	a.backend.heartbeatReceived(platform.Heartbeat{ID: "s", StartTime: 10, Sequence: 2, Capacity: structs.Resources{CPU: 4000}})
 	require.EqualValues(t, 2000, report().Capacity.CPU)
 	a.backend.heartbeatReceived(platform.Heartbeat{ID: "s", StartTime: 20, Sequence: 1, Capacity: structs.Resources{CPU: 3000}})
+	require.EqualValues(t, 2000, report().Capacity.CPU, "the server has not shown which incarnation runs")
+	a.backend.listAnswered(listCall{server: "s", requestedAt: a.loop.Now()}, platform.RunList{StartTime: 20})
 	require.EqualValues(t, 3000, report().Capacity.CPU, "a new incarnation counts anew")
 }
 
--- a/internal/platformagent/backend.go
+++ b/internal/platformagent/backend.go
@@ -44,21 +44,13 @@
 	reportChanged chan struct{}
 
 	// mu guards the fields below.
-	mu sync.Mutex
-	// server and startTime identify the server's incarnation as of its last heartbeat. server is empty if it is not
-	// known.
-	server    string
-	startTime int64
-	// sequence is that of the last heartbeat of this incarnation.
-	sequence uint64
+	mu           sync.Mutex
+	incarnations incarnations
 	// stored describes the report that is in the store, unstored is a newer one that must replace it or nil. With remove
 	// set, the report must be removed because its server has left.
 	stored   storedReport
 	unstored *platform.Heartbeat
 	remove   bool
-	// left is the last server that has deregistered, with its start time. Later heartbeats of it are late ones.
-	left          string
-	leftStartTime int64
 	// clock is the server's clock in milliseconds as read at clockAt, a time of the event loop's clock. It is 0 if it is
 	// not known.
 	clock   int64
@@ -81,45 +73,61 @@
 func (c *backendClient) hasServer() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.server != ""
+	return c.incarnations.current.server != ""
 }
 
-// heartbeatReceived passes a heartbeat of the server to the supervisor. A server that has restarted is called at once,
-// so that it has the fencing token before a late request of an earlier agent can reach it.
+// heartbeatReceived passes a heartbeat of the current incarnation of the server to the supervisor. If it is of another one,
+// the server is asked at once which one runs: a server that has restarted so gets the fencing token before a late request of
+// an earlier agent can reach it.
 func (c *backendClient) heartbeatReceived(heartbeat platform.Heartbeat) {
 	c.mu.Lock()
-	if heartbeat.StartTime != 0 && heartbeat.StartTime < c.startTime {
+	known := c.incarnations.current
+	switch c.incarnations.handleHeartbeat(c.agent.loop.Now(), heartbeat) {
+	case heartbeatLate:
 		c.mu.Unlock()
-		c.requestList() // most likely a late heartbeat of an earlier incarnation; the server's list shows which one runs
+		_ = level.Info(c.agent.logger).Log("msg", "late heartbeat ignored", "server", heartbeat.ID, "start_time", heartbeat.StartTime,
+			"sequence", heartbeat.Sequence)
 		return
-	}
-	if heartbeat.ID == c.left && heartbeat.StartTime <= c.leftStartTime {
+	case heartbeatUnconfirmed:
+		if c.cancelList != nil && !c.listIsShort {
+			c.cancelList()
+		}
 		c.mu.Unlock()
-		return // sent before the server left
+		c.agent.metrics.unconfirmedHeartbeats.Inc(1)
+		_ = level.Info(c.agent.logger).Log("msg", "heartbeat of another incarnation, asking which one runs", "server", heartbeat.ID,
+			"start_time", heartbeat.StartTime, "known", known.server, "known_start_time", known.startTime)
+		c.requestList()
+		return
+	case heartbeatCurrent:
 	}
-	if heartbeat.ID == c.server && heartbeat.StartTime == c.startTime && heartbeat.StartTime != 0 && heartbeat.Sequence < c.sequence {
-		c.mu.Unlock()
-		return // a late one: a later heartbeat has said what the server is and has now
+	changed := c.reportAccepted(heartbeat, known)
+	c.mu.Unlock()
+	c.agent.loop.Post(func(now time.Duration) { c.agent.supervisor.SetServer(now, serverOf(heartbeat)) })
+	if changed {
+		c.requestList()
 	}
-	changed := c.server != heartbeat.ID || c.startTime != heartbeat.StartTime
-	c.server, c.startTime, c.sequence = heartbeat.ID, heartbeat.StartTime, heartbeat.Sequence
+	c.signalReportChanged()
+}
+
+// reportAccepted schedules the write of an accepted heartbeat to the store. known is the incarnation that was current before; it
+// reports whether it is another one. The caller holds c.mu.
+func (c *backendClient) reportAccepted(heartbeat platform.Heartbeat, known incarnation) bool {
 	c.unstored, c.remove = nil, false
 	if c.stored != describeReport(heartbeat) {
 		c.unstored = &heartbeat
 	}
+	changed := c.incarnations.current != known
 	if changed {
 		c.clock = 0
 	}
-	c.mu.Unlock()
-	server := supervisor.Server{
+	return changed
+}
+
+func serverOf(heartbeat platform.Heartbeat) supervisor.Server {
+	return supervisor.Server{
 		ID: heartbeat.ID, StartTime: heartbeat.StartTime, Service: heartbeat.Service, Labels: heartbeat.Labels,
 		Capacity: heartbeat.Capacity, Draining: heartbeat.Draining,
 	}
-	c.agent.loop.Post(func(now time.Duration) { c.agent.supervisor.SetServer(now, server) })
-	if changed {
-		c.requestList()
-	}
-	c.signalReportChanged()
 }
 
 // requestList makes run request the list of runs, now or after the request in progress.
@@ -142,14 +150,14 @@
 		drift = min(drift, c.agent.options.Settings.Bounds.RunLease/2)
 		deadline = c.clock + (end - c.clockAt - drift).Milliseconds()
 	}
-	return c.server, deadline
+	return c.incarnations.current.server, deadline
 }
 
 // currentServer returns the server to call.
 func (c *backendClient) currentServer() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.server
+	return c.incarnations.current.server
 }
 
 // setClock stores the server's clock as read from a response.
@@ -234,10 +242,8 @@
 // later does not use it.
 func (c *backendClient) serverLeft(id string) {
 	c.mu.Lock()
-	if c.server == id {
-		c.left, c.leftStartTime = id, c.startTime
-		c.server, c.startTime, c.clock = "", 0, 0
-		c.unstored, c.remove = nil, true
+	if c.incarnations.handleDeregistration(id) {
+		c.clock, c.unstored, c.remove = 0, nil, true
 	}
 	c.mu.Unlock()
 	c.signalReportChanged()
@@ -247,10 +253,14 @@
 // forgetServer forgets a server whose address now belongs to another one. The next heartbeat identifies that one.
 func (c *backendClient) forgetServer(server string) {
 	c.mu.Lock()
-	if c.server == server {
-		c.server, c.startTime, c.clock = "", 0, 0
+	ended := c.incarnations.handleWrongServer(server)
+	if ended {
+		c.clock = 0
 	}
 	c.mu.Unlock()
+	if !ended {
+		return
+	}
 	_ = level.Info(c.agent.logger).Log("msg", "another server answered at the address of the known one", "server", server)
 	c.agent.loop.Post(func(now time.Duration) { c.agent.supervisor.ServerDeregistered(now, server) })
 }
@@ -313,8 +323,13 @@
 		call.hedged = s.CallsGetLost(now)
 		call.leaseEnd = s.RenewLease(now)
 	})
-	server, deadline := c.leaseDeadline(call.leaseEnd)
-	call.server = server
+	_, deadline := c.leaseDeadline(call.leaseEnd)
+	c.mu.Lock()
+	call.server = c.incarnations.addressee()
+	if c.incarnations.candidate != nil {
+		call.repeat, call.request.Wait = true, 0
+	}
+	c.mu.Unlock()
 	if call.suspect || deadline == 0 || !call.repeat {
 		call.request.Wait = 0
 	}
@@ -353,6 +368,13 @@
 		c.listFailed(ctx, call, answer, err)
 		return
 	}
+	c.listAnswered(call, runs)
+}
+
+// listAnswered handles the answer to a request for the list: it records which incarnation of the server has answered, and
+// passes the list, and a report that it confirms, to the supervisor.
+func (c *backendClient) listAnswered(call listCall, runs platform.RunList) {
+	report := c.recordIncarnation(call, runs)
 	c.setClock(runs.Clock)
 	list := supervisor.RunList{StartTime: runs.StartTime, RequestedAt: call.requestedAt}
 	for _, r := range runs.Running {
@@ -365,7 +387,33 @@
 			RunRef: supervisor.RunRef{Task: e.Task, Run: e.Run}, Number: e.Number, End: convertEnd(e.End),
 		})
 	}
-	c.agent.loop.Post(func(now time.Duration) { c.agent.supervisor.HandleList(now, list) })
+	c.agent.loop.Post(func(now time.Duration) {
+		c.agent.supervisor.HandleList(now, list)
+		if report != nil {
+			c.agent.supervisor.SetServer(now, serverOf(*report))
+		}
+	})
+}
+
+// recordIncarnation records which incarnation of the server has answered a request for the list. It returns the report that
+// the answer has confirmed, or nil.
+func (c *backendClient) recordIncarnation(call listCall, runs platform.RunList) *platform.Heartbeat {
+	c.mu.Lock()
+	known, candidate := c.incarnations.current, c.incarnations.candidate
+	report := c.incarnations.handleList(c.agent.loop.Now(), call.server, runs.StartTime, call.requestedAt)
+	if report != nil {
+		c.reportAccepted(*report, known)
+	}
+	current, dropped := c.incarnations.current, candidate != nil && report == nil && c.incarnations.candidate == nil
+	c.mu.Unlock()
+	if report != nil {
+		c.signalReportChanged()
+	}
+	if current != known || dropped {
+		_ = level.Info(c.agent.logger).Log("msg", "incarnation of the server", "server", current.server, "start_time", current.startTime,
+			"earlier_start_time", known.startTime, "reported", report != nil, "dropped_heartbeat", dropped)
+	}
+	return report
 }
 
 // listResult is the response to one request for the list.
--- a/internal/standin/platform_server.go
+++ b/internal/standin/platform_server.go
@@ -65,6 +65,8 @@
 	listener  net.Listener
 	server    *http.Server
 	startTime time.Time
+	// nextSkew is by how much the server's time of day is ahead at its next start, skew what it was at the last one.
+	nextSkew, skew time.Duration
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -227,10 +229,21 @@
 	for task, run := range s.runs {
 		s.end(task, run, platform.EndOther)
 	}
+	s.skew = s.nextSkew
 	s.startTime, s.leaseEnd, s.token, s.lastEndNumber, s.sequence = time.Now(), time.Time{}, 0, 0, 0
 	s.highestRun, s.ends = map[string]uint32{}, nil
 }
 
+// SetClockSkew sets by how much the server's time of day is ahead when it is restarted from now on. Its start time then tells.
+func (s *PlatformServer) SetClockSkew(skew time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextSkew = skew
+}
+
+// reportedStartTime returns the start time that the server tells, in Unix milliseconds.
+func (s *PlatformServer) reportedStartTime() int64 { return s.startTime.Add(s.skew).UnixMilli() }
+
 // Starts returns the number of runs that were started.
 func (s *PlatformServer) Starts() int {
 	s.mu.Lock()
@@ -285,7 +298,7 @@
 	s.sequence++
 	heartbeat := platform.Heartbeat{
 		ID: s.options.ID, Service: s.options.Service, Zone: s.options.Zone, Address: s.listener.Addr().String(),
-		StartTime: s.startTime.UnixMilli(), Sequence: s.sequence, Draining: s.faults.Draining, Capacity: s.options.Capacity,
+		StartTime: s.reportedStartTime(), Sequence: s.sequence, Draining: s.faults.Draining, Capacity: s.options.Capacity,
 		Labels: s.options.Labels,
 	}
 	s.mu.Unlock()
@@ -519,7 +532,7 @@
 	for _, e := range s.ends {
 		ended = append(ended, []any{e.Number, e.Task, e.Run, e.End.Code(), ""})
 	}
-	s.answer(w, map[string]any{"born": s.startTime.UnixMilli(), "running": running, "ended": ended})
+	s.answer(w, map[string]any{"born": s.reportedStartTime(), "running": running, "ended": ended})
 }
 
 // awaitEnd waits until a run ends. It returns at once if there are ended runs that the agent has not acknowledged. It
--- a/internal/supervisor/runs.go
+++ b/internal/supervisor/runs.go
@@ -194,7 +194,8 @@
 // HandleList handles the server's list of its runs.
 func (s *Supervisor) HandleList(now time.Duration, list RunList) {
 	s.advance(now)
-	if s.server != nil && list.StartTime != 0 && list.StartTime < s.server.StartTime && list.RequestedAt <= s.startTimeKnownAt {
+	if s.server != nil && s.server.StartTime != 0 && list.StartTime != 0 && list.StartTime != s.server.StartTime &&
+		list.RequestedAt <= s.startTimeKnownAt {
 		return // a delayed answer of an earlier incarnation
 	}
 	s.unansweredStarts, s.failedLists = 0, 0
