--- a/internal/link/codec.go
+++ b/internal/link/codec.go
@@ -23,7 +23,8 @@
 var decMode = newDecMode()
 
 func newDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: maxArrayElements}.DecMode()
+	// A text that is not valid UTF-8 must not invalidate the rest of its message. Receivers check the texts that they use.
+	mode, err := cbor.DecOptions{MaxArrayElements: maxArrayElements, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
 	if err != nil {
 		panic("link: invalid CBOR options: " + err.Error())
 	}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
@@ -243,3 +244,20 @@
 }
 
 func (c *startCounter) Closed(*Link, error) {}
+
+// TestOddTextDoesNotInvalidateItsMessage guards against one text that is not valid UTF-8 and for which the receiver drops the whole
+// message: with the first message of a link, no link would come up.
+func TestOddTextDoesNotInvalidateItsMessage(t *testing.T) {
+	body, err := cbor.Marshal(&structs.Resume{
+		Gateway: structs.GatewayRef{ID: "g", Incarnation: 1}, GatewayAddresses: []string{"\xff\x00{", "10.0.0.1:7720"}, Revision: 7,
+	})
+	require.NoError(t, err)
+	newMessage := func(structs.MessageType) any { return &structs.Resume{} }
+	messages := DecodeBatch([]structs.Envelope{{Type: structs.TypeResume, Body: body}}, newMessage, func(_ structs.MessageType, err error) {
+		require.NoError(t, err)
+	})
+	require.Len(t, messages, 1)
+	resume := messages[0].(*structs.Resume)
+	require.EqualValues(t, 7, resume.Revision)
+	require.Equal(t, "10.0.0.1:7720", resume.GatewayAddresses[1])
+}
--- a/internal/platformagent/links.go
+++ b/internal/platformagent/links.go
@@ -1,7 +1,9 @@
 package platformagent
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +25,11 @@
 	// minRedialDelay and maxRedialDelay bound the exponential backoff between dials of a gateway that does not answer.
 	minRedialDelay = 30 * time.Millisecond
 	maxRedialDelay = 240 * time.Millisecond
+	// A gateway that has never answered in maxFreshDials dials, about 15 s, is dialed every deadRedialDelay: its address may be
+	// another writer's. maxDials bounds the dials at the same time.
+	maxFreshDials   = 40
+	deadRedialDelay = 2 * time.Second
+	maxDials        = 64
 	// memberCheckInterval is the time between two checks for gateways without a link.
 	memberCheckInterval = 50 * time.Millisecond
 	// storeReadInterval is the time between reads of the list of gateways in the store while no gateway is linked. With
@@ -57,7 +64,10 @@
 	dialing     bool
 	redialDelay time.Duration
 	nextDial    time.Time
-	conn        *conn
+	// failures counts the dials since the last message of the gateway, linked is set by its first one.
+	failures int
+	linked   bool
+	conn     *conn
 }
 
 // conn is one link and handles its messages.
@@ -84,13 +94,17 @@
 	return l
 }
 
-// addMembers adds gateways by their addresses, and marks known ones as seen.
+// addMembers adds gateways by their addresses, and marks known ones as seen. Texts that are no address are left out. If
+// platform.MaxGateways are known, a new one takes the place of one that has never answered.
 func (l *links) addMembers(addresses []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, address := range addresses {
 		m := l.members[address]
 		if m == nil {
+			if _, err := platform.ParseGatewayAddress(address); err != nil || !l.makeRoom() {
+				continue
+			}
 			m = &member{address: address, redialDelay: minRedialDelay}
 			l.members[address] = m
 		}
@@ -98,6 +112,25 @@
 	}
 }
 
+// makeRoom reports whether another gateway may be added. If too many are known, it forgets one that has never answered. The
+// caller holds l.mu.
+func (l *links) makeRoom() bool {
+	if len(l.members) < platform.MaxGateways {
+		return true
+	}
+	for address, m := range l.members {
+		if !m.linked && m.conn == nil && m.failures > 0 && !l.isSeed(address) {
+			delete(l.members, address)
+			return true
+		}
+	}
+	return false
+}
+
+func (l *links) isSeed(address string) bool {
+	return slices.Contains(l.agent.options.Settings.Seeds, address)
+}
+
 // run dials gateways until the context ends.
 func (l *links) run(ctx context.Context) error {
 	go l.readMembers(ctx)
@@ -119,40 +152,58 @@
 // readMembers reads the list of gateways from the store. It does not use the store's cheaper read, whose answer may be
 // seconds old and would delay the first link by as much.
 func (l *links) readMembers(ctx context.Context) {
-	entries, _, err := l.store.List(ctx, platform.GatewayPrefix, "", 0)
+	list, err := platform.ReadGateways(ctx, l.store, false)
 	if err != nil {
 		_ = level.Info(l.agent.logger).Log("msg", "reading the list of gateways failed", "err", err)
 		return
 	}
-	addresses := make([]string, 0, len(entries))
-	for _, entry := range entries {
-		addresses = append(addresses, string(entry.Value))
-	}
-	l.addMembers(addresses)
+	l.addMembers(slices.Collect(maps.Values(list.Addresses)))
 }
 
 // dialMissing starts to dial the gateways without a link, removes those that were not seen for memberRetention, and
-// returns the number of linked ones.
+// returns the number of linked ones. Those that have failed least often are dialed first.
 func (l *links) dialMissing(ctx context.Context) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now, linked := time.Now(), 0
+	now, linked, dialing := time.Now(), 0, 0
+	var due []*member
 	for address, m := range l.members {
 		switch {
 		case m.conn != nil:
 			linked++
 			m.lastSeen = now
-		case m.dialing || l.closing || now.Before(m.nextDial):
-		case now.Sub(m.lastSeen) > memberRetention && !slices.Contains(l.agent.options.Settings.Seeds, address):
+		case m.dialing:
+			dialing++
+		case l.closing || now.Before(m.nextDial):
+		case now.Sub(m.lastSeen) > memberRetention && !l.isSeed(address):
 			delete(l.members, address)
 		default:
-			m.dialing = true
-			go l.dial(ctx, m)
+			due = append(due, m)
 		}
 	}
+	if free := max(maxDials-dialing, 0); len(due) > free {
+		slices.SortFunc(due, func(a, b *member) int { return cmp.Compare(a.failures, b.failures) })
+		due = due[:free]
+	}
+	for _, m := range due {
+		m.dialing = true
+		go l.dial(ctx, m)
+	}
 	return linked
 }
 
+// recordFailure schedules the next dial of a gateway after a dial, or a link without a message, that has failed. The caller
+// holds l.mu.
+func (l *links) recordFailure(m *member) {
+	m.failures++
+	longest := maxRedialDelay
+	if !m.linked && m.failures > maxFreshDials && !l.isSeed(m.address) {
+		longest = deadRedialDelay
+	}
+	m.nextDial = time.Now().Add(m.redialDelay)
+	m.redialDelay = min(2*m.redialDelay, longest)
+}
+
 // dial dials a gateway once and stores the link or the time of the next attempt.
 func (l *links) dial(ctx context.Context, m *member) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -166,11 +217,10 @@
 		return // the link was closed before it could be stored
 	}
 	if err != nil {
-		m.nextDial = time.Now().Add(m.redialDelay)
-		m.redialDelay = min(2*m.redialDelay, maxRedialDelay)
+		l.recordFailure(m)
 		return
 	}
-	m.redialDelay, m.conn, c.link = minRedialDelay, c, established
+	m.conn, c.link = c, established
 	l.agent.loop.Post(func(time.Duration) { c.sendServerReport() })
 }
 
@@ -277,6 +327,7 @@
 func (l *links) setGateway(c *conn, gateway structs.GatewayRef) {
 	l.mu.Lock()
 	c.gateway = gateway
+	c.member.redialDelay, c.member.failures, c.member.linked = minRedialDelay, 0, true
 	l.mu.Unlock()
 	_ = level.Info(l.agent.logger).Log("msg", "gateway linked", "gateway", gateway, "address", c.member.address)
 }
@@ -290,8 +341,11 @@
 		c.member.conn = nil
 	}
 	gateway := c.gateway
+	if gateway == (structs.GatewayRef{}) {
+		l.recordFailure(c.member) // no message, or none that could be read
+	}
 	l.mu.Unlock()
-	_ = level.Info(l.agent.logger).Log("msg", "link to gateway closed", "gateway", gateway, "err", err)
+	_ = level.Info(l.agent.logger).Log("msg", "link to gateway closed", "gateway", gateway, "address", c.member.address, "err", err)
 	l.agent.loop.Post(func(now time.Duration) {
 		if l.connTo(gateway) == nil {
 			l.agent.supervisor.GatewayUnlinked(now, gateway)
--- a/internal/platformgateway/gateway.go
+++ b/internal/platformgateway/gateway.go
@@ -85,8 +85,10 @@
 	submitted, completed, failed, refused, lost tally.Counter
 	placed, givenUp, refusedEarly               tally.Counter
 	quarantined, racksInDemand, rackUtilization tally.Gauge
-	latency                                     tally.Histogram
-	racks                                       rackMetrics
+	// invalidGateways is the number of entries in the list of gateways without an address.
+	invalidGateways tally.Gauge
+	latency         tally.Histogram
+	racks           rackMetrics
 }
 
 func newMetrics(scope tally.Scope) gatewayMetrics {
@@ -96,8 +98,9 @@
 		placed: scope.Counter("tasks_placed"), refusedEarly: scope.Counter("jobs_refused_early"),
 		givenUp: scope.Counter("jobs_given_up"), quarantined: scope.Gauge("queues_in_quarantine"),
 		racksInDemand: scope.Gauge("racks_in_demand"), rackUtilization: scope.Gauge("rack_utilization_highest"),
-		latency: scope.Histogram("job_seconds", tally.MustMakeExponentialDurationBuckets(8*time.Millisecond, 2, 12)),
-		racks:   newRackMetrics(scope),
+		invalidGateways: scope.Gauge("invalid_gateway_entries"),
+		latency:         scope.Histogram("job_seconds", tally.MustMakeExponentialDurationBuckets(8*time.Millisecond, 2, 12)),
+		racks:           newRackMetrics(scope),
 	}
 }
 
@@ -116,7 +119,7 @@
 	g.store = platform.NewStoreClient("http://"+s.StoreAddress, storeTimeout, nil)
 	g.metrics = newMetrics(options.Metrics.Scope)
 	g.operator = &operatorWatcher{gateway: g}
-	g.membership = &membership{gateway: g}
+	g.membership = &membership{gateway: g, reported: map[string]bool{}}
 	g.agents = &agentLinks{gateway: g, conns: map[structs.AgentID]*conn{}}
 	g.requests = newRequestHandler(g)
 	g.callerServer = &http.Server{
--- a/internal/platformgateway/membership.go
+++ b/internal/platformgateway/membership.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -29,6 +31,8 @@
 	// readInterval is the time between reads of the list of gateways. A new gateway needs agents before it can serve,
 	// and they learn of it from the list.
 	readInterval = time.Second
+	// maxReportedKeys bounds the log lines about entries without an address.
+	maxReportedKeys = 64
 )
 
 // membership keeps this gateway's key in the store and passes the list of all gateways on to the agents.
@@ -41,6 +45,8 @@
 	// missing counts the consecutive reads in which this gateway's key was missing although its lease is renewed. It is
 	// used by run only.
 	missing int
+	// reported holds the keys of invalid entries that were logged, at most maxReportedKeys. It is used by run only.
+	reported map[string]bool
 }
 
 func (m *membership) key() string { return platform.GatewayPrefix + string(m.gateway.options.Self.ID) }
@@ -101,16 +107,13 @@
 // read passes the list of gateways on to the agents. While the store is unavailable, the last list stays in force. If
 // this gateway's key is missing in the store, its address is added to the list.
 func (m *membership) read(ctx context.Context) {
-	entries, _, err := m.gateway.store.ListStale(ctx, platform.GatewayPrefix, "", 0)
+	list, err := platform.ReadGateways(ctx, m.gateway.store, true)
 	if err != nil {
 		return // operatorWatcher.run logs that the store is unavailable
 	}
-	addresses := make([]string, 0, len(entries))
-	found := false
-	for _, entry := range entries {
-		addresses = append(addresses, string(entry.Value))
-		found = found || entry.Key == m.key()
-	}
+	m.reportInvalid(list)
+	addresses := slices.Collect(maps.Values(list.Addresses))
+	_, found := list.Addresses[m.key()]
 	m.missing++
 	if found {
 		m.missing = 0
@@ -123,9 +126,23 @@
 		m.forgetLease()
 	}
 	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
 	m.gateway.loop.Post(func(time.Duration) { m.gateway.scheduler.SetGatewayAddresses(addresses) })
 }
 
+// reportInvalid logs the entries of the list that name no gateway, once for each key.
+func (m *membership) reportInvalid(list platform.GatewayList) {
+	m.gateway.metrics.invalidGateways.Update(float64(list.InvalidCount))
+	for _, key := range list.Invalid {
+		if m.reported[key] || len(m.reported) >= maxReportedKeys {
+			continue
+		}
+		m.reported[key] = true
+		_ = level.Warn(m.gateway.logger).Log("msg", "entry in the list of gateways has no address, ignored", "key", strconv.QuoteToASCII(key),
+			"invalid", list.InvalidCount)
+	}
+}
+
 // forgetLease makes the next renewal write the key under a new lease.
 func (m *membership) forgetLease() {
 	m.mu.Lock()
--- a/internal/standin/store_http.go
+++ b/internal/standin/store_http.go
@@ -14,6 +14,12 @@
 // maxRequestBytes bounds the body of a request. It leaves room for the largest value in base64 and the rest of the JSON.
 const maxRequestBytes = 2 * store.MaxValueBytes
 
+// maxPageItems and maxPageBytes bound one page of a range, as the platform's store does.
+const (
+	maxPageItems = 500
+	maxPageBytes = 1 << 20
+)
+
 // kindStatus maps kinds of errors to the HTTP statuses of the platform's store.
 var kindStatus = map[store.Kind]int{
 	store.KindUnavailable: http.StatusServiceUnavailable,
@@ -136,10 +142,14 @@
 
 func (s *Store) handleList(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	entries, revision, err := s.List(r.Context(), query.Get("prefix"), query.Get("after"), 0)
-	page := platform.StorePage{StoreRevision: revision, MorePages: len(entries) == maxListEntries}
+	entries, revision, err := s.List(r.Context(), query.Get("prefix"), query.Get("after"), maxPageItems+1)
+	page := platform.StorePage{StoreRevision: revision}
+	size := 0
 	for _, entry := range entries {
-		page.Items = append(page.Items, toItem(entry))
+		if page.MorePages = len(page.Items) == maxPageItems || size >= maxPageBytes; page.MorePages {
+			break
+		}
+		page.Items, size = append(page.Items, toItem(entry)), size+len(entry.Value)
 	}
 	writeAnswer(w, page, err)
 }
