--- a/internal/supervisor/runs.go
+++ b/internal/supervisor/runs.go
@@ -203,6 +203,8 @@
 	if s.server != nil && list.StartTime != 0 {
 		if s.server.StartTime != 0 && list.StartTime != s.server.StartTime {
 			s.handleServerRestart(s.server.ID)
+			s.undescribed = true
+			s.announceServer()
 		} else if s.server.StartTime != 0 {
 			s.withdrawCrash()
 		}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -80,6 +80,8 @@
 	options Options
 	now     time.Duration
 	server  *Server
+	// undescribed is set while the server is known to have restarted and has not reported yet what it is now.
+	undescribed bool
 	// startTimeKnownAt is when the server's start time became known. A list requested after that comes from the
 	// current incarnation, even if its start time is lower because the server's clock was set back.
 	startTimeKnownAt time.Duration
@@ -178,6 +180,8 @@
 		return "no server"
 	case !s.reconciled:
 		return "starting"
+	case s.undescribed:
+		return "not reported"
 	case s.server.Draining:
 		return "draining"
 	case s.zones.IsOut(s.options.Zone):
@@ -208,7 +212,8 @@
 	}
 	same := old != nil && old.ID == server.ID && old.StartTime == server.StartTime && old.Draining == server.Draining &&
 		old.Capacity == server.Capacity && slices.Equal(old.Labels, server.Labels) && old.Service == server.Service
-	s.server = &server
+	same = same && !s.undescribed
+	s.server, s.undescribed = &server, false
 	if !same {
 		s.log(LogEntry{Message: "server report", Detail: server.ID + " draining=" + strconv.FormatBool(server.Draining)})
 		s.announceServer()
@@ -229,7 +234,7 @@
 	}
 	s.crashReported = true // the server has announced its end
 	s.handleServerRestart(id)
-	s.server = nil
+	s.server, s.undescribed = nil, false
 	s.announceServer()
 }
 
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -409,3 +409,23 @@
 	require.LessOrEqual(t, calls, 30)
 	require.GreaterOrEqual(t, calls, 5)
 }
+
+// TestServerIsClosedUntilItsNewIncarnationReports guards against tasks that start on a server by the labels and the capacity of its
+// earlier incarnation.
+func TestServerIsClosedUntilItsNewIncarnationReports(t *testing.T) {
+	h := newHarness(t)
+	h.now += time.Millisecond
+	h.supervisor.HandleList(h.now, RunList{StartTime: 20, RequestedAt: h.now})
+	h.place("j", 1, 1, nil)
+	require.Empty(t, h.starts)
+	require.Equal(t, "not reported", h.lastReport().Reason)
+	h.supervisor.HandleList(h.now, RunList{StartTime: 20, RequestedAt: h.now})
+	h.place("k", 2, 1, nil)
+	require.Empty(t, h.starts, "further lists say nothing of what it is")
+	h.supervisor.SetServer(h.now, Server{ID: "s", StartTime: 20, Service: "svc", Capacity: structs.Resources{CPU: 1000}, Labels: []string{"b"}})
+	h.flush()
+	require.True(t, h.lastReport().Open)
+	require.Equal(t, []string{"b"}, h.lastReport().Labels)
+	h.place("l", 3, 1, nil)
+	require.Len(t, h.starts, 1)
+}
