--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -206,6 +206,7 @@
 	// placements collects the Place messages of a Flush, so that tasks of one step for one agent share a message.
 	placements  []Send
 	stops       map[*server][]uint64
+	cancelled   *cancellations
 	crashes     *crashHistory
 	quarantines *quarantines
 	demand      *rackdemand.Gateway
@@ -222,7 +223,7 @@
 		servers: map[structs.AgentID]*server{}, serversByZone: map[string][]*server{}, models: map[string]*runTimeModel{}, jobs: map[string]*job{},
 		tasks: map[uint64]*task{}, zones: zonestate.NewView(), stops: map[*server][]uint64{},
 		serversByLabel: map[string][]*server{}, rackWaits: map[string]*rackWaits{}, rackAhead: map[string]int64{},
-		crashes: newCrashHistory(), quarantines: newQuarantines(), demand: rackdemand.NewGateway(),
+		cancelled: newCancellations(), crashes: newCrashHistory(), quarantines: newQuarantines(), demand: rackdemand.NewGateway(),
 	}
 }
 
@@ -288,6 +289,10 @@
 // Submit handles a request to run a job. A request for a job that is known already joins it.
 func (s *Scheduler) Submit(now time.Duration, in Submission) {
 	s.advance(now)
+	if s.cancelled.has(s.now, in.Job.ID) {
+		s.answerCancelled(in)
+		return
+	}
 	if known := s.jobs[in.Job.ID]; known != nil {
 		s.join(known, in)
 		return
@@ -410,19 +415,6 @@
 	}
 }
 
-// Cancel ends a job at a caller's request. It reports whether the job was known.
-func (s *Scheduler) Cancel(now time.Duration, id string) bool {
-	s.advance(now)
-	j := s.jobs[id]
-	if j == nil {
-		return false
-	}
-	if !j.ended {
-		s.end(j, OutcomeFailed, "cancelled", 0)
-	}
-	return true
-}
-
 // end ends a job: it emits the answer and stops all placements. The job stays known until these have ended, so that
 // a second submission cannot overlap with them.
 func (s *Scheduler) end(j *job, outcome Outcome, reason string, retryAfter time.Duration) {
--- a/internal/schedule/shadow.go
+++ b/internal/schedule/shadow.go
@@ -8,7 +8,7 @@
 )
 
 // shadow returns a copy of the scheduler in which a new job can be submitted and dispatched without an effect on s. The
-// servers are copied. The other jobs, the models, the crash history and the quarantines are shared, so the copy must neither
+// servers are copied. The other jobs, the models, the cancelled jobs, the crash history and the quarantines are shared, so the copy must neither
 // handle messages of agents nor dispatch other jobs.
 func (s *Scheduler) shadow() *Scheduler {
 	c := *s
