--- a/internal/platformagent/links.go
+++ b/internal/platformagent/links.go
@@ -260,6 +260,8 @@
 		return &structs.RackDemand{}
 	case structs.TypeZonesOut:
 		return &structs.ZonesOut{}
+	case structs.TypeCancelJobs:
+		return &structs.CancelJobs{}
 	case structs.TypeHeartbeat:
 		return &structs.Heartbeat{}
 	default:
@@ -290,6 +292,8 @@
 		a.supervisor.RelayQuarantine(now, m)
 	case *structs.RackDemand:
 		a.supervisor.HandleRackDemand(now, c.gateway, m)
+	case *structs.CancelJobs:
+		a.supervisor.RelayCancellation(now, c.gateway, m)
 	case *structs.ZonesOut:
 		a.supervisor.HandleZoneState(now, m)
 	case *structs.OperatorState:
--- a/internal/platformgateway/agents.go
+++ b/internal/platformgateway/agents.go
@@ -72,6 +72,8 @@
 		return &structs.Features{}
 	case structs.TypeZonesOut:
 		return &structs.ZonesOut{}
+	case structs.TypeJobsCancelled:
+		return &structs.JobsCancelled{}
 	case structs.TypeRackDemandTotal:
 		return &structs.RackDemandTotal{}
 	case structs.TypePlacementEvents:
@@ -115,6 +117,8 @@
 		g.scheduler.HandleRackDemandTotal(now, c.agent.ID, m)
 	case *structs.PlacementEvents:
 		g.scheduler.HandlePlacementEvents(now, c.agent.ID, m)
+	case *structs.JobsCancelled:
+		g.scheduler.HandleJobsCancelled(now, c.agent.ID, m)
 	case *structs.ZonesOut:
 		g.scheduler.HandleZoneState(now, c.agent.ID, m)
 	case *structs.OperatorState:
--- a/internal/platformgateway/gateway.go
+++ b/internal/platformgateway/gateway.go
@@ -85,6 +85,8 @@
 	submitted, completed, failed, refused, lost tally.Counter
 	placed, givenUp, refusedEarly               tally.Counter
 	quarantined, racksInDemand, rackUtilization tally.Gauge
+	// cancelled and unconfirmedCancels count the requests to cancel a job, and those that no agent has passed on in time.
+	cancelled, unconfirmedCancels tally.Counter
 	// invalidGateways is the number of entries in the list of gateways without an address.
 	invalidGateways tally.Gauge
 	latency         tally.Histogram
@@ -98,6 +100,7 @@
 		placed: scope.Counter("tasks_placed"), refusedEarly: scope.Counter("jobs_refused_early"),
 		givenUp: scope.Counter("jobs_given_up"), quarantined: scope.Gauge("queues_in_quarantine"),
 		racksInDemand: scope.Gauge("racks_in_demand"), rackUtilization: scope.Gauge("rack_utilization_highest"),
+		cancelled: scope.Counter("cancellings"), unconfirmedCancels: scope.Counter("cancellings_unconfirmed"),
 		invalidGateways: scope.Gauge("invalid_gateway_entries"),
 		latency:         scope.Histogram("job_seconds", tally.MustMakeExponentialDurationBuckets(8*time.Millisecond, 2, 12)),
 		racks:           newRackMetrics(scope),
@@ -222,6 +225,8 @@
 			g.agents.closeLink(action.Agent)
 		case schedule.Answer:
 			g.requests.answer(action)
+		case schedule.Cancelled:
+			g.requests.confirmCancelling(action)
 		case schedule.LogEntry:
 			g.log(action)
 		}
--- a/internal/platformgateway/requests.go
+++ b/internal/platformgateway/requests.go
@@ -50,11 +50,13 @@
 	// mu guards the fields below.
 	mu      sync.Mutex
 	waiters map[schedule.Waiter]chan schedule.Answer
-	next    schedule.Waiter
+	// cancellings holds the requests to cancel a job that wait for their confirmation.
+	cancellings map[schedule.Waiter]chan schedule.Cancelled
+	next        schedule.Waiter
 }
 
 func newRequestHandler(g *Gateway) *requestHandler {
-	return &requestHandler{gateway: g, waiters: map[schedule.Waiter]chan schedule.Answer{}}
+	return &requestHandler{gateway: g, waiters: map[schedule.Waiter]chan schedule.Answer{}, cancellings: map[schedule.Waiter]chan schedule.Cancelled{}}
 }
 
 // problem is the body of every unsuccessful answer, a problem detail (RFC 9457).
@@ -93,7 +95,7 @@
 	case r.Method == http.MethodGet:
 		h.jobState(w, id)
 	case r.Method == http.MethodDelete:
-		h.cancelJob(w, id)
+		h.cancelJob(w, r, id)
 	default:
 		w.Header().Set("Allow", "GET, POST, DELETE")
 		refuse(w, http.StatusMethodNotAllowed, "bad_request", "the method is not known here", 0)
@@ -147,14 +149,43 @@
 	answerJSON(w, platform.JobAnswer{State: platform.JobRunning})
 }
 
-func (h *requestHandler) cancelJob(w http.ResponseWriter, id string) {
-	known := false
-	h.gateway.loop.Call(func(now time.Duration) { known = h.gateway.scheduler.Cancel(now, id) })
-	if !known {
-		refuse(w, http.StatusGone, "not_found", "no such job is known", 0)
-		return
+// cancelJob cancels a job, and answers once an agent has passed the cancelling on to the other gateways, which may run it too.
+func (h *requestHandler) cancelJob(w http.ResponseWriter, r *http.Request, id string) {
+	confirmed := make(chan schedule.Cancelled, 1)
+	h.mu.Lock()
+	h.next++
+	waiter := h.next
+	h.cancellings[waiter] = confirmed
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		delete(h.cancellings, waiter)
+	}()
+	h.gateway.metrics.cancelled.Inc(1)
+	h.gateway.loop.Post(func(now time.Duration) { h.gateway.scheduler.RequestCancel(now, id, waiter) })
+	select {
+	case <-r.Context().Done():
+	case result := <-confirmed:
+		switch {
+		case !result.Confirmed:
+			h.gateway.metrics.unconfirmedCancels.Inc(1)
+			refuse(w, http.StatusGatewayTimeout, "unconfirmed", "the job does not run here any more, but no other gateway could be told", time.Second)
+		case !result.Known:
+			refuse(w, http.StatusGone, "not_found", "no such job is known", 0)
+		default:
+			answerJSON(w, platform.JobAnswer{State: platform.JobCancelled})
+		}
+	}
+}
+
+// confirmCancelling passes the result of a cancelling to its request. It runs in the event loop.
+func (h *requestHandler) confirmCancelling(result schedule.Cancelled) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if confirmed := h.cancellings[result.Waiter]; confirmed != nil {
+		confirmed <- result
 	}
-	answerJSON(w, platform.JobAnswer{State: platform.JobCancelled})
 }
 
 // adviceUnsupported is the detail of a refusal by a queue with structs.Route.NeedsAdvice.
--- a/internal/schedule/malformed_test.go
+++ b/internal/schedule/malformed_test.go
@@ -29,7 +29,7 @@
 		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "pause")) * time.Millisecond
 			id := rapid.SampledFrom(agents).Draw(t, "agent")
-			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			switch rapid.IntRange(0, 11).Draw(t, "what") {
 			case 0:
 				report := rapid.Make[structs.ServerReport]().Draw(t, "server report")
 				s.HandleServerReport(now, id, &report)
@@ -65,6 +65,14 @@
 				total := rapid.Make[structs.RackDemandTotal]().Draw(t, "rack demand")
 				total.Rack = rapid.SampledFrom([]string{"", "rack", total.Rack}).Draw(t, "rack")
 				s.HandleRackDemandTotal(now, id, &total)
+			case 7:
+				zones := rapid.Make[structs.ZonesOut]().Draw(t, "zones")
+				zones.Age = rapid.SampledFrom([]time.Duration{math.MinInt64, 0, time.Second, math.MaxInt64}).Draw(t, "age")
+				s.HandleZoneState(now, id, &zones)
+			case 8:
+				cancelled := rapid.Make[structs.JobsCancelled]().Draw(t, "cancelled")
+				s.HandleJobsCancelled(now, id, &cancelled)
+				s.RequestCancel(now, string(rune('a'+i)), schedule.Waiter(100+i))
 			default:
 				job := testJob(string(rune('a'+i)), 2, structs.Resources{CPU: 1000, MemoryMB: 10})
 				job.Steps[0].Rack = rapid.SampledFrom([]string{"", "rack", "unknown"}).Draw(t, "rack")
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -23,6 +23,7 @@
 	s.sendPlaces()
 	s.sendHeartbeats()
 	s.sendUrgentZoneState()
+	s.sendCancellings()
 	actions := s.actions
 	s.actions = nil
 	return actions
@@ -615,6 +616,9 @@
 	if len(s.queue) > 0 {
 		wake = min(wake, s.now+queueCheckInterval, s.nextWaitEnd)
 	}
+	for _, batch := range s.cancelling {
+		wake = min(wake, batch.nextAt)
+	}
 	if at := s.crashes.nextJudgment(); at > 0 {
 		wake = min(wake, max(at, s.now+time.Millisecond))
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -118,7 +118,8 @@
 	report     structs.ServerReport
 	linked     bool
 	tasksEndBy time.Duration // when its tasks have certainly ended, 0 while it is linked and after they were returned
-	// unlinkedAt is when the last link was closed.
+	// linkedAt is when the last link was established, unlinkedAt when it was closed.
+	linkedAt       time.Duration
 	unlinkedAt     time.Duration
 	sentAt         time.Duration
 	seq            uint64
@@ -131,8 +132,9 @@
 	logSlowness float64
 	// changed is set if the server may have become suitable for a waiting job since the last Flush.
 	changed bool
-	// placesAlone is set if the agent accepts PlaceAlone.
-	placesAlone bool
+	// placesAlone is set if the agent accepts PlaceAlone, relaysCancellings if it accepts CancelJobs.
+	placesAlone       bool
+	relaysCancellings bool
 	// fullUntil is the time until which no task of a priority may be queued there, because one was returned for lack
 	// of resources.
 	fullUntil map[int]time.Duration
@@ -204,9 +206,13 @@
 	zonesUrgent bool
 	actions     []Action
 	// placements collects the Place messages of a Flush, so that tasks of one step for one agent share a message.
-	placements  []Send
-	stops       map[*server][]uint64
-	cancelled   *cancellations
+	placements []Send
+	stops      map[*server][]uint64
+	cancelled  *cancellations
+	// cancelling holds the requests to cancel a job that the agents have not confirmed. cancelSeq numbers the CancelJobs
+	// messages.
+	cancelling  []*cancelBatch
+	cancelSeq   uint64
 	crashes     *crashHistory
 	quarantines *quarantines
 	demand      *rackdemand.Gateway
@@ -486,10 +492,10 @@
 	if !slices.Contains(s.resumes, srv) {
 		s.resumes = append(s.resumes, srv)
 	}
-	srv.linked, srv.tasksEndBy = true, 0
+	srv.linked, srv.linkedAt, srv.tasksEndBy = true, s.now, 0
 	srv.resources, srv.unacknowledged = structs.ResourceReport{}, nil
 	srv.report.Open = false
-	srv.placesAlone = false
+	srv.placesAlone, srv.relaysCancellings = false, false
 	s.setSlowness(srv, 0)
 }
 
--- a/internal/structs/placement_messages.go
+++ b/internal/structs/placement_messages.go
@@ -32,6 +32,10 @@
 	TypeRackDemandTotal
 	// In both directions. Processes that do not know the type ignore it.
 	TypeZonesOut
+	// From gateway to an agent that has sent JobsCancelled.
+	TypeCancelJobs
+	// From agent to gateway. Gateways that do not know the type ignore it.
+	TypeJobsCancelled
 )
 
 // Times and limits that gateways and agents share.
@@ -266,6 +270,25 @@
 	Age time.Duration
 }
 
+// CancelJobs asks an agent to tell all gateways that jobs were cancelled. The agent answers with JobsCancelled.
+type CancelJobs struct {
+	_ struct{} `cbor:",toarray"`
+	// Seq numbers the CancelJobs messages of an incarnation of the gateway.
+	Seq  uint64
+	Jobs []string
+}
+
+// JobsCancelled says that jobs were cancelled and must not run any more. An agent sends it to all gateways, for the gateway that
+// confirms the cancelling to the caller as the answer to its CancelJobs. On a new link it is sent once with the jobs cancelled
+// lately, also if there are none: it then says that the agent understands CancelJobs.
+type JobsCancelled struct {
+	_ struct{} `cbor:",toarray"`
+	// Gateway and Seq identify the CancelJobs message. They are zero at the start of a link.
+	Gateway GatewayRef
+	Seq     uint64
+	Jobs    []string
+}
+
 // Heartbeat is sent on a link when there is nothing else to send.
 type Heartbeat struct {
 	_        struct{} `cbor:",toarray"`
--- a/internal/supervisor/flush.go
+++ b/internal/supervisor/flush.go
@@ -265,6 +265,10 @@
 		s.send(g, structs.TypeFeatures, &structs.Features{PlaceAlone: true})
 	}
 	s.sendNotices(g)
+	for _, m := range g.cancelled {
+		s.send(g, structs.TypeJobsCancelled, m)
+	}
+	g.cancelled = nil
 	if g.zonesDue {
 		g.zonesDue = false
 		s.send(g, structs.TypeZonesOut, s.zoneState())
--- a/internal/supervisor/gateways.go
+++ b/internal/supervisor/gateways.go
@@ -42,6 +42,8 @@
 	// featuresDue is set until the features are sent on the link, zonesDue until the zone state is.
 	featuresDue bool
 	zonesDue    bool
+	// cancelled holds the messages about cancelled jobs to be sent.
+	cancelled []*structs.JobsCancelled
 	// lastNotice is the number of the last notice that was sent on the link.
 	lastNotice uint64
 }
@@ -59,6 +61,7 @@
 	g.timedOut = false
 	g.linked, g.lastContact, g.serverReportDue, g.events, g.pendingResume, g.pendingStops = true, s.now, true, nil, in, nil
 	g.sentSlowness, g.lastNotice, g.featuresDue, g.zonesDue = 0, 0, true, s.zones.Known()
+	g.cancelled = []*structs.JobsCancelled{{Jobs: s.recentlyCancelled()}}
 	if s.reconciled {
 		s.reconcileTasks(g)
 	}
--- a/internal/supervisor/malformed_test.go
+++ b/internal/supervisor/malformed_test.go
@@ -26,7 +26,7 @@
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "pause")) * time.Millisecond
 			g := rapid.SampledFrom(gateways).Draw(t, "gateway")
-			switch rapid.IntRange(0, 11).Draw(t, "what") {
+			switch rapid.IntRange(0, 12).Draw(t, "what") {
 			case 0:
 				server := rapid.Make[Server]().Draw(t, "server")
 				s.SetServer(now, server)
@@ -73,6 +73,9 @@
 			case 11:
 				zones := rapid.Make[structs.ZonesOut]().Draw(t, "zones")
 				s.HandleZoneState(now, &zones)
+			case 12:
+				cancel := rapid.Make[structs.CancelJobs]().Draw(t, "cancelling")
+				s.RelayCancellation(now, g, &cancel)
 			}
 			for _, action := range s.Flush(now) {
 				if start, ok := action.(CallStart); ok {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -142,7 +142,9 @@
 	// quarantineVersions holds the versions of the quarantines that were passed on, by queue.
 	quarantineVersions map[string]uint64
 	demand             *rackdemand.Agent
-	actions            []Action
+	// cancelled holds the cancelled jobs that were passed on to the gateways, oldest first.
+	cancelled []cancelledJob
+	actions   []Action
 }
 
 // New returns a supervisor that does not know its server yet.
