--- a/internal/platformagent/links.go
+++ b/internal/platformagent/links.go
@@ -295,7 +295,7 @@
 	case *structs.CancelJobs:
 		a.supervisor.RelayCancellation(now, c.gateway, m)
 	case *structs.ZonesOut:
-		a.supervisor.HandleZoneState(now, m)
+		a.supervisor.HandleZonesOut(now, m)
 	case *structs.OperatorState:
 		c.stateExchange.Received(m.Revision)
 		c.gatewayRevision = max(c.gatewayRevision, m.Revision)
--- a/internal/platformgateway/agents.go
+++ b/internal/platformgateway/agents.go
@@ -120,7 +120,7 @@
 	case *structs.JobsCancelled:
 		g.scheduler.HandleJobsCancelled(now, c.agent.ID, m)
 	case *structs.ZonesOut:
-		g.scheduler.HandleZoneState(now, c.agent.ID, m)
+		g.scheduler.HandleZonesOut(now, c.agent.ID, m)
 	case *structs.OperatorState:
 		c.stateExchange.Received(m.Revision)
 		g.operator.applyState(now, m, "agent "+string(c.agent.ID))
--- a/internal/schedule/malformed_test.go
+++ b/internal/schedule/malformed_test.go
@@ -68,7 +68,7 @@
 			case 7:
 				zones := rapid.Make[structs.ZonesOut]().Draw(t, "zones")
 				zones.Age = rapid.SampledFrom([]time.Duration{math.MinInt64, 0, time.Second, math.MaxInt64}).Draw(t, "age")
-				s.HandleZoneState(now, id, &zones)
+				s.HandleZonesOut(now, id, &zones)
 			case 8:
 				cancelled := rapid.Make[structs.JobsCancelled]().Draw(t, "cancelled")
 				s.HandleJobsCancelled(now, id, &cancelled)
--- a/internal/schedule/zones.go
+++ b/internal/schedule/zones.go
@@ -25,8 +25,8 @@
 	s.applyZones(zones, revision, asOf)
 }
 
-// HandleZoneState handles the zone state of an agent, which has read it from the store or has it from another gateway.
-func (s *Scheduler) HandleZoneState(now time.Duration, id structs.AgentID, in *structs.ZonesOut) {
+// HandleZonesOut handles the zone state of an agent, which has read it from the store or has it from another gateway.
+func (s *Scheduler) HandleZonesOut(now time.Duration, id structs.AgentID, in *structs.ZonesOut) {
 	s.advance(now)
 	if s.applyZones(in.Zones, in.Revision, s.now-max(in.Age, 0)) {
 		s.log(LogEntry{Message: "zone state taken from an agent", Agent: id, Detail: describeZones(&s.zones)})
--- a/internal/schedule/zones_test.go
+++ b/internal/schedule/zones_test.go
@@ -53,14 +53,14 @@
 		}
 	}
 	require.Equal(t, 2, s.UsableServers())
-	s.HandleZoneState(now, "a", &structs.ZonesOut{Revision: 9, Zones: []string{"z"}, Age: time.Millisecond})
+	s.HandleZonesOut(now, "a", &structs.ZonesOut{Revision: 9, Zones: []string{"z"}, Age: time.Millisecond})
 	require.Zero(t, s.UsableServers())
 	sent := sentZones(t, s, now)
 	require.Equal(t, &structs.ZonesOut{Revision: 9, Zones: []string{"z"}, Age: time.Millisecond}, sent["b"])
 	// Older states change nothing, the same one is not sent at once.
 	s.SetZonesOut(now, nil, 8)
-	s.HandleZoneState(now, "b", &structs.ZonesOut{Revision: 7})
-	s.HandleZoneState(now, "b", &structs.ZonesOut{Revision: 9, Zones: []string{"z"}})
+	s.HandleZonesOut(now, "b", &structs.ZonesOut{Revision: 7})
+	s.HandleZonesOut(now, "b", &structs.ZonesOut{Revision: 9, Zones: []string{"z"}})
 	require.Zero(t, s.UsableServers())
 	require.Empty(t, sentZones(t, s, now))
 	// Without a change, a confirmation is sent at once if the agents are about to read the store.
@@ -68,14 +68,14 @@
 		now += 250 * time.Millisecond
 		sentZones(t, s, now)
 	}
-	s.HandleZoneState(now, "a", &structs.ZonesOut{Revision: 10, Zones: []string{"z"}})
+	s.HandleZonesOut(now, "a", &structs.ZonesOut{Revision: 10, Zones: []string{"z"}})
 	require.Len(t, sentZones(t, s, now), 2)
 	// A new link begins with the state.
 	s.Unlinked(now, "b")
 	s.Linked(now, "b")
 	s.HandleServerReport(now, "b", &structs.ServerReport{Zone: "z", Service: "s", Open: true})
 	require.Contains(t, sentZones(t, s, now), structs.AgentID("b"))
-	s.HandleZoneState(now, "a", &structs.ZonesOut{Revision: 11})
+	s.HandleZonesOut(now, "a", &structs.ZonesOut{Revision: 11})
 	require.Equal(t, 2, s.UsableServers(), "the zone is back")
 	require.Less(t, s.zones.Age(now), zonestate.StaleAfter)
 }
--- a/internal/supervisor/malformed_test.go
+++ b/internal/supervisor/malformed_test.go
@@ -72,7 +72,7 @@
 				s.HandleRackDemand(now, g, &demand)
 			case 11:
 				zones := rapid.Make[structs.ZonesOut]().Draw(t, "zones")
-				s.HandleZoneState(now, &zones)
+				s.HandleZonesOut(now, &zones)
 			case 12:
 				cancel := rapid.Make[structs.CancelJobs]().Draw(t, "cancelling")
 				s.RelayCancellation(now, g, &cancel)
--- a/internal/supervisor/zones.go
+++ b/internal/supervisor/zones.go
@@ -15,8 +15,8 @@
 	s.applyZones(zones, revision, zonestate.Unconfirmed)
 }
 
-// HandleZoneState handles the zone state of a gateway.
-func (s *Supervisor) HandleZoneState(now time.Duration, in *structs.ZonesOut) {
+// HandleZonesOut handles the zone state of a gateway.
+func (s *Supervisor) HandleZonesOut(now time.Duration, in *structs.ZonesOut) {
 	s.advance(now)
 	s.applyZones(in.Zones, in.Revision, s.now-max(in.Age, 0))
 }
--- a/internal/supervisor/zones_test.go
+++ b/internal/supervisor/zones_test.go
@@ -31,7 +31,7 @@
 func TestZonesAreReadWithoutFreshWord(t *testing.T) {
 	h := newHarness(t)
 	for range 10 {
-		h.supervisor.HandleZoneState(h.now, &structs.ZonesOut{Revision: 5, Age: 500 * time.Millisecond})
+		h.supervisor.HandleZonesOut(h.now, &structs.ZonesOut{Revision: 5, Age: 500 * time.Millisecond})
 		h.advance(time.Second, true)
 	}
 	require.Zero(t, h.reads, "a gateway confirms the state")
@@ -47,7 +47,7 @@
 	require.Empty(t, h.starts)
 	require.Equal(t, "zone out", h.lastReport().Reason)
 	require.Equal(t, []*structs.ZonesOut{{Revision: 9, Zones: []string{"y", "z"}}}, h.zoneStates, "the gateways may be cut off")
-	h.supervisor.HandleZoneState(h.now, &structs.ZonesOut{Revision: 5})
+	h.supervisor.HandleZonesOut(h.now, &structs.ZonesOut{Revision: 5})
 	h.supervisor.SetZonesOut(h.now, nil, 8)
 	h.flush()
 	require.Equal(t, "zone out", h.lastReport().Reason, "gateways with an older state")
@@ -61,7 +61,7 @@
 // zone which its agents know to be out.
 func TestZoneStateIsSentOnNewLinks(t *testing.T) {
 	h := newHarness(t)
-	h.supervisor.HandleZoneState(h.now, &structs.ZonesOut{Revision: 5, Zones: []string{"y"}, Age: -time.Hour})
+	h.supervisor.HandleZonesOut(h.now, &structs.ZonesOut{Revision: 5, Zones: []string{"y"}, Age: -time.Hour})
 	require.LessOrEqual(t, h.supervisor.ZoneStateAge(h.now+zonestate.StaleAfter), zonestate.StaleAfter, "an age below 0 is invalid")
 	h.zoneStates = nil
 	h.gateway.Incarnation = 2
