--- a/internal/standin/platform_server.go
+++ b/internal/standin/platform_server.go
@@ -181,8 +181,8 @@
 	server := s.server
 	s.down = true
 	s.mu.Unlock()
+	s.Restart()        // the runs end with the process, before its agent can learn of it
 	_ = server.Close() // its listener and connections
-	s.Restart()
 	time.AfterFunc(s.options.CrashTime, func() { s.listenAgain(address) })
 }
 
@@ -337,7 +337,7 @@
 		return false
 	}
 	s.mu.Lock()
-	if s.faults.Unresponsive {
+	if s.faults.Unresponsive || s.down {
 		s.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
