--- a/internal/platformagent/backend.go
+++ b/internal/platformagent/backend.go
@@ -388,10 +388,10 @@
 		})
 	}
 	c.agent.loop.Post(func(now time.Duration) {
-		c.agent.supervisor.HandleList(now, list)
 		if report != nil {
-			c.agent.supervisor.SetServer(now, serverOf(*report))
+			c.agent.supervisor.ConfirmServer(now, serverOf(*report))
 		}
+		c.agent.supervisor.HandleList(now, list)
 	})
 }
 
--- a/internal/supervisor/crash_test.go
+++ b/internal/supervisor/crash_test.go
@@ -144,3 +144,20 @@
 	require.Len(t, h.quarantines, 2)
 	require.Equal(t, 1700*time.Millisecond, h.quarantines[1].Age)
 }
+
+// TestReplacedServerCrashesOnce guards against a second crash report, of a server that never was, when another server answers at the
+// address of the known one: its jobs would be taken for deadly.
+func TestReplacedServerCrashesOnce(t *testing.T) {
+	h := newHarness(t)
+	h.place("j", 1, 2, nil)
+	h.answerStarts(AnswerNone)
+	h.now += 10 * time.Millisecond
+	next := Server{ID: "next", StartTime: 5, Service: "svc", Capacity: structs.Resources{CPU: 4000}}
+	h.supervisor.ConfirmServer(h.now, next)
+	h.supervisor.HandleList(h.now, RunList{StartTime: 5, RequestedAt: h.now - time.Millisecond})
+	h.flush()
+	require.Len(t, h.crashes, 1)
+	require.Equal(t, "s", h.crashes[0].Server)
+	require.True(t, h.lastReport().Open)
+	require.Equal(t, "next", h.lastReport().Server, "its start time is lower")
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -196,13 +196,25 @@
 	return ""
 }
 
-// SetServer handles the server's report about itself. A server that has restarted has lost its earlier runs.
+// SetServer handles the server's report about itself. A report with a lower start time than the known one is ignored.
 func (s *Supervisor) SetServer(now time.Duration, server Server) {
 	s.advance(now)
-	old := s.server
-	if old != nil && server.StartTime < old.StartTime && server.StartTime != 0 {
+	if s.server != nil && server.StartTime < s.server.StartTime && server.StartTime != 0 {
 		return // a delayed report of an earlier incarnation
 	}
+	s.setServer(server)
+}
+
+// ConfirmServer handles a report of the incarnation that has just answered a request for the list. It must be called before
+// HandleList, so that the restart is handled once.
+func (s *Supervisor) ConfirmServer(now time.Duration, server Server) {
+	s.advance(now)
+	s.setServer(server)
+}
+
+// setServer applies a report. A server that has restarted has lost its earlier runs.
+func (s *Supervisor) setServer(server Server) {
+	old := s.server
 	if old != nil && (old.ID != server.ID || (server.StartTime != 0 && old.StartTime != 0 && old.StartTime != server.StartTime)) {
 		s.handleServerRestart(server.ID)
 	}
@@ -212,9 +224,7 @@
 	if old == nil || old.StartTime != server.StartTime {
 		s.startTimeKnownAt = s.now
 	}
-	same := old != nil && old.ID == server.ID && old.StartTime == server.StartTime && old.Draining == server.Draining &&
-		old.Capacity == server.Capacity && slices.Equal(old.Labels, server.Labels) && old.Service == server.Service
-	same = same && !s.undescribed
+	same := old != nil && !s.undescribed && old.equals(server)
 	s.server, s.undescribed = &server, false
 	if !same {
 		s.log(LogEntry{Message: "server report", Detail: server.ID + " draining=" + strconv.FormatBool(server.Draining)})
@@ -222,6 +232,12 @@
 	}
 }
 
+// equals reports whether two reports say the same.
+func (s *Server) equals(other Server) bool {
+	return s.ID == other.ID && s.StartTime == other.StartTime && s.Draining == other.Draining && s.Capacity == other.Capacity &&
+		slices.Equal(s.Labels, other.Labels) && s.Service == other.Service
+}
+
 func (s *Supervisor) setStartTime(startTime int64) {
 	if s.server.StartTime != startTime {
 		s.server.StartTime, s.startTimeKnownAt = startTime, s.now
