Read-through: one piece of code where the review's mends had two

The time for which a cancelled job is remembered must be the same at gateways and agents and was written twice: structs.CancelRetention. The text of a zone state in logs is zonestate.View.String. No behaviour of the product changes; the tests keep their assertions.

--- a/internal/platformagent/incarnation.go
+++ b/internal/platformagent/incarnation.go
@@ -127,12 +127,10 @@
 
 // handleDeregistration takes the announcement of a server that it ends. It reports whether this was the current incarnation.
 func (i *incarnations) handleDeregistration(server string) bool {
-	if i.candidate != nil && i.candidate.ID == server {
-		i.candidate = nil
-	}
-	if i.current.server != server {
-		return false
+	last := i.current
+	ended := i.handleWrongServer(server) // another server, or none, runs now
+	if ended {
+		i.left = last
 	}
-	i.left, i.current = i.current, incarnation{}
-	return true
+	return ended
 }
--- a/internal/schedule/cancel.go
+++ b/internal/schedule/cancel.go
@@ -9,18 +9,13 @@
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
-const (
-	// cancelRetention is how long a cancelled job is not run again. Callers that got no answer submit a job again within
-	// seconds, through any gateway.
-	cancelRetention = 30 * time.Second
-	// maxCancelled bounds the cancelled jobs that are remembered, about 100 bytes each.
-	maxCancelled = 20_000
-)
+// maxCancelled bounds the cancelled jobs that are remembered, about 100 bytes each.
+const maxCancelled = 20_000
 
 // cancelReason is the reason of the answers about a cancelled job.
 const cancelReason = "cancelled"
 
-// cancellations remembers the jobs that were cancelled, for cancelRetention.
+// cancellations remembers the jobs that were cancelled, for structs.CancelRetention.
 type cancellations struct {
 	at map[string]time.Duration
 	// order holds the jobs in the order of their cancelling.
@@ -31,7 +26,7 @@
 
 // add remembers a job. The oldest ones are forgotten if there are too many.
 func (c *cancellations) add(now time.Duration, id string) {
-	for len(c.order) > 0 && (len(c.order) >= maxCancelled || now-c.at[c.order[0]] >= cancelRetention) {
+	for len(c.order) > 0 && (len(c.order) >= maxCancelled || now-c.at[c.order[0]] >= structs.CancelRetention) {
 		delete(c.at, c.order[0])
 		c.order = c.order[1:]
 	}
@@ -43,7 +38,7 @@
 
 func (c *cancellations) has(now time.Duration, id string) bool {
 	at, known := c.at[id]
-	return known && now-at < cancelRetention
+	return known && now-at < structs.CancelRetention
 }
 
 // Cancel ends a job at a caller's request, with all submissions of it that wait or arrive later. It reports whether the job was
--- a/internal/schedule/cancel_test.go
+++ b/internal/schedule/cancel_test.go
@@ -134,8 +134,8 @@
 	require.Len(t, c.at, maxCancelled)
 	require.Len(t, c.order, maxCancelled)
 	last := fmt.Sprintf("%016x", 2*maxCancelled-1)
-	require.True(t, c.has(cancelRetention, last))
-	c.add(2*cancelRetention, "new")
+	require.True(t, c.has(structs.CancelRetention, last))
+	c.add(2*structs.CancelRetention, "new")
 	require.Len(t, c.at, 1)
-	require.False(t, c.has(2*cancelRetention, last))
+	require.False(t, c.has(2*structs.CancelRetention, last))
 }
--- a/internal/schedule/zones.go
+++ b/internal/schedule/zones.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"fmt"
 	"time"
 
 	"rosedrift.example/rosedrift/internal/structs"
@@ -29,15 +28,10 @@
 func (s *Scheduler) HandleZonesOut(now time.Duration, id structs.AgentID, in *structs.ZonesOut) {
 	s.advance(now)
 	if s.applyZones(in.Zones, in.Revision, s.now-max(in.Age, 0)) {
-		s.log(LogEntry{Message: "zone state taken from an agent", Agent: id, Detail: describeZones(&s.zones)})
+		s.log(LogEntry{Message: "zone state taken from an agent", Agent: id, Detail: s.zones.String()})
 	}
 }
 
-// describeZones returns a zone state for the log.
-func describeZones(zones *zonestate.View) string {
-	return fmt.Sprintf("out=%v revision=%d", zones.Out(), zones.Revision())
-}
-
 // applyZones applies a zone state and returns whether the zones have changed. The agents get a change at once, and also a
 // confirmation if without it they would soon read the store.
 func (s *Scheduler) applyZones(zones []string, revision uint64, asOf time.Duration) bool {
--- a/internal/structs/placement_messages.go
+++ b/internal/structs/placement_messages.go
@@ -62,6 +62,9 @@
 	// ClockDriftFactor is how many times longer a lease may last by the clock of another machine. Clocks of backend
 	// servers on the users' platform may be 2% slow; the factor is rounded up.
 	ClockDriftFactor = 1.03
+	// CancelRetention is how long a cancelled job is remembered: gateways do not run it again, and agents tell it to gateways that
+	// link later. Callers that got no answer submit a job again within seconds, through any gateway.
+	CancelRetention = 30 * time.Second
 	// StalledRemaining is reported as the remaining time of a run that makes no progress.
 	StalledRemaining = time.Hour
 )
--- a/internal/supervisor/cancel.go
+++ b/internal/supervisor/cancel.go
@@ -6,13 +6,8 @@
 	"rosedrift.example/rosedrift/internal/structs"
 )
 
-const (
-	// cancelRetention is how long cancelled jobs are told to gateways that link later. Callers submit a job again within
-	// seconds.
-	cancelRetention = 30 * time.Second
-	// maxCancelled bounds the cancelled jobs that are kept.
-	maxCancelled = 4096
-)
+// maxCancelled bounds the cancelled jobs that are kept.
+const maxCancelled = 4096
 
 // cancelledJob is a cancelled job that was passed on to the gateways.
 type cancelledJob struct {
@@ -39,10 +34,10 @@
 	}
 }
 
-// recentlyCancelled returns the jobs that were cancelled within cancelRetention, and forgets the others.
+// recentlyCancelled returns the jobs that were cancelled within structs.CancelRetention, and forgets the others.
 func (s *Supervisor) recentlyCancelled() []string {
 	first := 0
-	for first < len(s.cancelled) && s.now-s.cancelled[first].at >= cancelRetention {
+	for first < len(s.cancelled) && s.now-s.cancelled[first].at >= structs.CancelRetention {
 		first++
 	}
 	s.cancelled = s.cancelled[first:]
--- a/internal/supervisor/zones.go
+++ b/internal/supervisor/zones.go
@@ -45,7 +45,7 @@
 func (s *Supervisor) applyZones(zones []string, revision uint64, asOf time.Duration) {
 	wasOut := s.zones.IsOut(s.options.Zone)
 	if s.zones.Apply(zones, revision, asOf) {
-		s.log(LogEntry{Message: "zone state", Detail: fmt.Sprintf("out=%v revision=%d", zones, revision)})
+		s.log(LogEntry{Message: "zone state", Detail: s.zones.String()})
 	}
 	if s.zones.IsOut(s.options.Zone) != wasOut {
 		s.announceServer()
--- a/internal/zonestate/zonestate.go
+++ b/internal/zonestate/zonestate.go
@@ -4,6 +4,7 @@
 package zonestate
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -51,6 +52,9 @@
 // IsOut reports whether a zone is out of service.
 func (v *View) IsOut(zone string) bool { return slices.Contains(v.out, zone) }
 
+// String returns the state for logs.
+func (v *View) String() string { return fmt.Sprintf("out=%v revision=%d", v.out, v.revision) }
+
 // AsOf returns the latest time at which the store is known to have had no newer state.
 func (v *View) AsOf() time.Duration { return v.asOf }
 
