--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(root, record string, trouble bool) (bool, error){
 	"shutdown": shutdownCase,
 	"route":    routeCase,
+	"arbiter":  arbiterCase,
 	"restart":  restartCase,
 }
 
--- a/review/driver-2/site.go
+++ b/review/driver-2/site.go
@@ -83,6 +83,8 @@
 	cancel   context.CancelFunc
 	runs     []runEvent
 	version  int
+	// quiet leaves requests and runs out of the record. The case then writes those that matter.
+	quiet bool
 }
 
 // runEvent is a start or an end of a run as a minion has seen it.
@@ -391,7 +393,9 @@
 }
 
 func (s *site) observe(m *minion, task string, run uint32, what string) {
-	s.note("%s: task %s run %d %s", m, task, run, what)
+	if !s.quiet {
+		s.note("%s: task %s run %d %s", m, task, run, what)
+	}
 	s.recordMu.Lock()
 	defer s.recordMu.Unlock()
 	s.runs = append(s.runs, runEvent{at: s.now(), minion: m.id, task: task, run: run, what: what})
@@ -436,6 +440,24 @@
 	return false
 }
 
+// overlaps returns the starts of a task while another run of it was active, by job.
+func (s *site) overlaps() map[string][]runEvent {
+	s.recordMu.Lock()
+	defer s.recordMu.Unlock()
+	active, found := map[string]int{}, map[string][]runEvent{}
+	for _, e := range s.runs {
+		if e.what != "starts" {
+			active[e.task]--
+			continue
+		}
+		if active[e.task]++; active[e.task] > 1 {
+			job, _, _ := strings.Cut(e.task, ".")
+			found[job] = append(found[job], e)
+		}
+	}
+	return found
+}
+
 // step is a step of a job.
 type step struct {
 	Count      int   `json:"count"`
@@ -505,7 +527,9 @@
 		r.Header.Set("Content-Type", "application/json")
 		r.Header.Set("Deadline-Ms", strconv.FormatInt(j.budget.Milliseconds(), 10))
 	}
-	s.note("client: %s %s%s to %s", method, j.queue.Prefix, j.id, front.name)
+	if !s.quiet {
+		s.note("client: %s %s%s to %s", method, j.queue.Prefix, j.id, front.name)
+	}
 	response, err := client.Do(r)
 	var raw []byte
 	if err == nil {
@@ -516,7 +540,9 @@
 	if a.err = err; err == nil {
 		a.status, a.body = response.StatusCode, string(raw)
 	}
-	s.note("client: %s %s%s to %s: %s", method, j.queue.Prefix, j.id, front.name, a)
+	if !s.quiet {
+		s.note("client: %s %s%s to %s: %s", method, j.queue.Prefix, j.id, front.name, a)
+	}
 	return a
 }
 
