--- a/review/driver-2/cases.go
+++ b/review/driver-2/cases.go
@@ -101,7 +101,7 @@
 	}
 	time.Sleep(limit - s.now() + 6*time.Second)
 	late := s.startsOf(j.id, limit)
-	s.close()
+	s.cancel() // the client of the POST leaves
 	wait.Wait()
 	return s.verdict(len(late) == 0, "first DELETE of job %s at %.3f s, acknowledged at %.3f s (0: never); %d of its tasks were started "+
 		"more than cancel_ms after that or after ackMs without an acknowledgement", j.id, first.Seconds(), acknowledged.Seconds(), len(late))
--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -6,8 +6,18 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
 )
 
+// timeLimit is the longest time that a case may take.
+const timeLimit = 110 * time.Second
+
+// ending is set once the case ends early. Its result then says nothing.
+var ending atomic.Bool
+
 // cases maps the names of the cases to their functions. A case returns whether the rule held.
 var cases = map[string]func(root, record string, trouble bool) (bool, error){
 	"shutdown": shutdownCase,
@@ -21,7 +31,11 @@
 		fmt.Fprintln(os.Stderr, "usage: driver-2 CASE ROOT RECORD")
 		os.Exit(2)
 	}
+	go endEarly()
 	held, err := cases[os.Args[1]](os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0")
+	if ending.Load() {
+		select {} // endEarly exits
+	}
 	switch {
 	case errors.Is(err, errSetup), err != nil:
 		fmt.Fprintln(os.Stderr, "driver-2:", err)
@@ -30,3 +44,20 @@
 		os.Exit(1)
 	}
 }
+
+// endEarly ends the processes of the case and this one at a signal or the time limit.
+func endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case <-signals:
+	case <-time.After(timeLimit):
+	}
+	ending.Store(true)
+	if s := current.Load(); s != nil {
+		s.note("ended early")
+		s.close()
+	}
+	fmt.Fprintln(os.Stderr, "driver-2: ended early")
+	os.Exit(2)
+}
--- a/review/driver-2/minion.go
+++ b/review/driver-2/minion.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -57,7 +56,6 @@
 	changed  chan struct{}
 	server   *http.Server
 	down     bool
-	busy     atomic.Bool
 	// lateShare is the share of calls that get no answer and are carried out 2 to 12 s later.
 	lateShare float64
 }
--- a/review/driver-2/site.go
+++ b/review/driver-2/site.go
@@ -57,7 +57,6 @@
 	program  string
 	settings string
 
-	busy    atomic.Bool
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
@@ -85,6 +84,9 @@
 	version  int
 	// quiet leaves requests and runs out of the record. The case then writes those that matter.
 	quiet bool
+	// closing keeps processes from being started once the site is closed. It and the starts are guarded by startMu.
+	startMu sync.Mutex
+	closing bool
 }
 
 // runEvent is a start or an end of a run as a minion has seen it.
@@ -101,6 +103,9 @@
 // errSetup is wrapped by errors after which the case could not be run.
 var errSetup = errors.New("the case could not run")
 
+// current is the site of the case, for an early end.
+var current atomic.Pointer[site]
+
 // newSite starts the store, the minions, and the processes with the commands of the deploy file. recordPath is the record to write.
 func newSite(root, recordPath string, sides int, cpu int64) (*site, error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -112,6 +117,7 @@
 	if s.dir, err = os.MkdirTemp("", "review-2-"); err != nil {
 		return nil, fmt.Errorf("%w: %w", errSetup, err)
 	}
+	current.Store(s)
 	if err := s.choosePorts(len(zones) + sides); err != nil {
 		return s, err
 	}
@@ -294,7 +300,12 @@
 	command.Dir = m.site.root
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "ROSEDRIFT_SETTINGS=" + m.settings}
 	command.Stdout, command.Stderr = logFile, logFile
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if this process is killed
+	m.site.startMu.Lock()
+	defer m.site.startMu.Unlock()
+	if m.site.closing {
+		return errSetup
+	}
 	if err := command.Start(); err != nil {
 		return err
 	}
@@ -364,6 +375,9 @@
 
 // close ends all processes that the site has started.
 func (s *site) close() {
+	s.startMu.Lock()
+	s.closing = true
+	s.startMu.Unlock()
 	for _, m := range s.machines() {
 		m.mu.Lock()
 		process, ended := m.process, m.ended
